--- /dev/null
+++ b/libs/config/include/pomelomill/config.h
@@ -0,0 +1,7 @@
+#pragma once
+
+// Operators' declarations: their data model, INI parser, checks, canonical
+// form and differences.
+
+#include "pomelomill/config/config_error.h"
+#include "pomelomill/config/declarations.h"
--- /dev/null
+++ b/libs/store/include/pomelomill/store.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// Access to the platform's key-value service.
+
+#include "pomelomill/store/store_client.h"
+#include "pomelomill/store/store_error.h"
