Format the HTTP client test

Cause: a constant that became constexpr was no longer aligned as the formatter wants it. Change: formatting only.

--- a/libs/http/test/http_client_test.cc
+++ b/libs/http/test/http_client_test.cc
@@ -89,7 +89,8 @@
   std::size_t connections_ = 0;
 };
 
-constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\nok";
+constexpr char kOk[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\nok";
 
 HttpResult Exchange(asio::io_context& context, HttpClient& client,
                     HttpRequest request) {
