--- a/cmake/PomelomillLibrary.cmake
+++ b/cmake/PomelomillLibrary.cmake
@@ -1,6 +1,7 @@
 # Defines one library of the workspace and its test program.
 #
-#   pomelomill_library(NAME DEPS lib... LINK target... [DEFINITIONS def...])
+#   pomelomill_library(NAME DEPS lib... LINK target... [TEST_DEPS lib...]
+#                      [DEFINITIONS def...])
 #
 # Sources are src/*.cc, tests are test/*.cc with one doctest main.
 
@@ -14,7 +15,7 @@
                                                         ASIO_DISABLE_STD_ALIGNED_ALLOC)
 
 function(pomelomill_library name)
-  cmake_parse_arguments(ARG "" "" "DEPS;LINK;DEFINITIONS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;LINK;TEST_DEPS;DEFINITIONS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cc)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cc)
 
@@ -31,6 +32,9 @@
     add_executable(${name}_test ${tests})
     target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
     target_link_libraries(${name}_test PRIVATE pomelomill_${name} rapidcheck)
+    foreach(dep IN LISTS ARG_TEST_DEPS)
+      target_link_libraries(${name}_test PRIVATE pomelomill_${dep})
+    endforeach()
     add_test(NAME ${name} COMMAND ${name}_test)
     # Fixed seed: CI must return the same verdict on every run.
     set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200")
