--- a/libs/base/include/pomelomill/base/strong_id.h
+++ b/libs/base/include/pomelomill/base/strong_id.h
@@ -19,6 +19,8 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const StrongId&) const = default;
   bool operator==(const StrongId&) const = default;
 
--- a/libs/config/include/pomelomill/config/declarations.h
+++ b/libs/config/include/pomelomill/config/declarations.h
@@ -17,8 +17,13 @@
   std::vector<RegionId> regions;
   /// Zones of each region, in the order of the file.
   std::map<RegionId, std::vector<ZoneId>> zones;
+  /// Machines that share one rack; a rack is the smallest unit that fails as a
+  /// whole.
+  std::uint32_t rack_size = 4;
   /// Control may spend this many store calls a second in each region.
   double store_calls_per_s = 50;
+
+  bool operator==(const FleetDeclaration&) const = default;
 };
 
 /// VMs that serve the same services. Sizes count VMs.
@@ -40,12 +45,16 @@
   /// VMs that join this pool when the region state is first written; others
   /// are assigned by the planner.
   std::vector<VmId> vms;
+
+  bool operator==(const PoolDeclaration&) const = default;
 };
 
 struct ServiceDeclaration {
   ServiceId id;
   PoolId pool;
   std::string title;
+
+  bool operator==(const ServiceDeclaration&) const = default;
 };
 
 enum class Urgency { kInteractive, kNormal, kBatch };
@@ -69,6 +78,8 @@
   Duration service_time = std::chrono::milliseconds(100);
   /// Waiting requests beyond this are refused, for one entry.
   std::uint32_t max_waiting = 1024;
+
+  bool operator==(const QueueDeclaration&) const = default;
 };
 
 /// A customer with a share of the queues and of the workers.
@@ -81,6 +92,8 @@
   double max_rate = 0;
   /// Worker cores that the team may always have.
   std::uint32_t quota_cores = 0;
+
+  bool operator==(const TeamDeclaration&) const = default;
 };
 
 /// A class of jobs for the workers.
@@ -95,6 +108,8 @@
   bool can_checkpoint = false;
   bool can_throttle = false;
   std::uint32_t max_attempts = 5;
+
+  bool operator==(const JobClassDeclaration&) const = default;
 };
 
 enum class MaintenanceAction { kReboot, kStop };
@@ -113,6 +128,8 @@
   std::optional<std::uint32_t> deadline_minute;
   /// Share of VMs that may fail to return before the wave stops by itself.
   double max_failed_share = 0.1;
+
+  bool operator==(const MaintenanceDeclaration&) const = default;
 };
 
 /// One operators' file, checked.
@@ -124,6 +141,8 @@
   std::map<TeamId, TeamDeclaration> teams;
   std::map<std::string, JobClassDeclaration> job_classes;
   std::map<WaveId, MaintenanceDeclaration> maintenance;
+
+  bool operator==(const Declarations&) const = default;
 };
 
 }  // namespace pomelomill
--- a/libs/platform/include/pomelomill/platform/region_state.h
+++ b/libs/platform/include/pomelomill/platform/region_state.h
@@ -20,16 +20,11 @@
   RackId rack;
   Generation generation;
   VmPhase phase = VmPhase::kActive;
-  /// When the VM last returned from maintenance, in seconds since the Unix
-  /// epoch; 0 when it never did. Wall clock time, because a cycle of weeks
-  /// outlives every process and its monotonic clock.
-  std::int64_t maintained_at_s = 0;
 
   bool operator==(const VmState&) const = default;
 };
 
-/// A start brings a stopped VM back into its pool.
-enum class IntentKind { kReboot, kMove, kStop, kStart };
+enum class IntentKind { kReboot, kMove, kStop };
 enum class IntentStep { kDrain, kStop, kRestart, kVerify, kDone };
 
 /// A planned stop or move of one VM; written before the platform is called.
