--- a/libs/base/include/pomelomill/base/strong_id.h
+++ b/libs/base/include/pomelomill/base/strong_id.h
@@ -19,7 +19,9 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
-  auto operator<=>(const StrongId&) const = default;
+  // clang-tidy 14 takes the rewritten comparison for a null pointer.
+  auto operator<=>(const StrongId&) const =
+      default;  // NOLINT(modernize-use-nullptr)
   bool operator==(const StrongId&) const = default;
 
   friend std::ostream& operator<<(std::ostream& out, const StrongId& id) {
--- /dev/null
+++ b/libs/maintenance/include/pomelomill/maintenance/wave_types.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pomelomill/base/decision_log.h"
+#include "pomelomill/base/ids.h"
+#include "pomelomill/base/time.h"
+#include "pomelomill/config/declarations.h"
+#include "pomelomill/planner/pool_need.h"
+#include "pomelomill/platform/region_state.h"
+
+namespace pomelomill {
+
+/// The permitted time of a wave relative to now. The caller converts wall
+/// clock times such as "before 04:00".
+struct WaveWindow {
+  /// Negative or zero: may run now.
+  Duration until_start{};
+  /// Absent: no deadline.
+  std::optional<Duration> until_deadline;
+};
+
+/// One region as the control lease holder sees it.
+struct WaveInput {
+  std::shared_ptr<const Declarations> declarations;
+  /// Holds the waves so far and the open intents. An intent of a wave stays
+  /// in the state with step `kDone` until a step has counted it.
+  std::shared_ptr<const RegionState> state;
+  /// Queues that are absent get the declared prior.
+  std::map<QueueId, QueueDemand> demand;
+  /// VMs that do not answer and are not being stopped on purpose.
+  std::set<VmId> lost;
+  /// Time since the last maintenance; VMs that are absent have had none.
+  std::map<VmId, Duration> maintained_ago;
+  std::map<WaveId, WaveWindow> windows;
+  /// Stopped waves that an operator wants to continue.
+  std::set<WaveId> resume;
+};
+
+enum class WaveActionKind {
+  kStart,   ///< open an intent for `vm`
+  kHold,    ///< nothing may start now, see `reason`
+  kStop,    ///< the wave has stopped by itself
+  kResume,  ///< an operator resumed the wave
+  kDone,    ///< every VM of the wave is accounted for
+  kAtRisk,  ///< the deadline will not be met, by the estimate
+};
+
+struct WaveAction {
+  WaveActionKind kind = WaveActionKind::kHold;
+  WaveId wave;
+  /// For `kStart` only.
+  VmId vm;
+  IntentKind intent_kind = IntentKind::kReboot;
+  std::string reason;
+
+  bool operator==(const WaveAction&) const = default;
+};
+
+/// When a wave is expected to end.
+struct WaveEstimate {
+  Duration remaining{};
+  /// Absent when the wave has no deadline.
+  std::optional<bool> meets_deadline;
+  /// VMs that may be out at once, as far as the budgets allow now.
+  std::uint32_t concurrency = 0;
+};
+
+/// Result of one step of the scheduler. The caller writes `waves` to the
+/// region state and erases `finished` in the same write; so a VM cannot be
+/// counted twice or maintained twice when the holder of the control lease
+/// changes.
+struct WaveStep {
+  std::vector<WaveAction> actions;
+  std::map<WaveId, WaveState> waves;
+  std::vector<IntentId> finished;
+  std::map<WaveId, WaveEstimate> estimates;
+  std::vector<Decision> decisions;
+};
+
+}  // namespace pomelomill
