Restore starts and maintenance time in the region state; add share phases

A share list without phases cannot say that a share is announced or withdrawn, so a change would let two entries use more than the whole.

--- a/libs/base/include/pomelomill/base/strong_number.h
+++ b/libs/base/include/pomelomill/base/strong_number.h
@@ -20,6 +20,8 @@
   /// The successor of this number.
   constexpr StrongNumber Next() const { return StrongNumber(value_ + 1); }
 
+  // clang-tidy 14 takes the 0 of the rewritten comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const StrongNumber&) const = default;
 
   friend std::ostream& operator<<(std::ostream& out, StrongNumber n) {
--- a/libs/platform/include/pomelomill/platform/region_state.h
+++ b/libs/platform/include/pomelomill/platform/region_state.h
@@ -20,11 +20,16 @@
   RackId rack;
   Generation generation;
   VmPhase phase = VmPhase::kActive;
+  /// When the VM last returned from maintenance, in seconds since the Unix
+  /// epoch; 0 when it never did. Wall clock time, because a cycle of weeks
+  /// outlives every process and its monotonic clock.
+  std::int64_t maintained_at_s = 0;
 
   bool operator==(const VmState&) const = default;
 };
 
-enum class IntentKind { kReboot, kMove, kStop };
+/// A start brings a stopped VM back into its pool.
+enum class IntentKind { kReboot, kMove, kStop, kStart };
 enum class IntentStep { kDrain, kStop, kRestart, kVerify, kDone };
 
 /// A planned stop or move of one VM; written before the platform is called.
@@ -60,12 +65,18 @@
   bool operator==(const WaveState&) const = default;
 };
 
+/// Joining and leaving entries must not use their share, but its weight
+/// counts in the sum: other entries may still act on an earlier region state,
+/// and the shares of all entries together never exceed the whole.
+enum class SharePhase { kActive, kJoining, kLeaving };
+
 /// The share of every endpoint's slots and connections that one entry may
 /// use: `weight` of the sum of all weights.
 struct EntryShare {
   EntryId entry;
   IncarnationId incarnation;
   std::uint32_t weight = 1;
+  SharePhase phase = SharePhase::kActive;
 
   bool operator==(const EntryShare&) const = default;
 };
