--- a/libs/platform/include/pomelomill/platform.h
+++ b/libs/platform/include/pomelomill/platform.h
@@ -6,3 +6,4 @@
 #include "pomelomill/platform/platform_client.h"
 #include "pomelomill/platform/platform_error.h"
 #include "pomelomill/platform/region_state.h"
+#include "pomelomill/platform/region_state_json.h"
