--- a/libs/config/include/pomelomill/config/config_error.h
+++ b/libs/config/include/pomelomill/config/config_error.h
@@ -8,6 +8,12 @@
   kMalformed = 1,
   kTooLarge,
   kUnreadable,
+  /// The value of `config/current` is not a record.
+  kMalformedRecord,
+  /// A higher revision has been seen.
+  kOldRevision,
+  /// Two texts claim the same revision.
+  kRevisionConflict,
 };
 
 const std::error_category& ConfigCategory();
--- a/libs/config/src/config_error.cc
+++ b/libs/config/src/config_error.cc
@@ -16,6 +16,12 @@
         return "the file is too large";
       case ConfigError::kUnreadable:
         return "the file cannot be read";
+      case ConfigError::kMalformedRecord:
+        return "the value of config/current is malformed";
+      case ConfigError::kOldRevision:
+        return "a higher revision has been seen";
+      case ConfigError::kRevisionConflict:
+        return "another configuration has the same revision";
     }
     return "unknown config error";
   }
--- a/libs/config/src/ini_document.cc
+++ b/libs/config/src/ini_document.cc
@@ -78,7 +78,7 @@
     } else if (!content.empty() && content[0] != ';' && content[0] != '#') {
       expects_entry_ = true;
     }
-    std::memcpy(buf, line.data(), line.size());
+    if (!line.empty()) std::memcpy(buf, line.data(), line.size());
     std::memcpy(buf + line.size(), "\n", 2);
     return buf;
   }
--- a/libs/config/src/parse.cc
+++ b/libs/config/src/parse.cc
@@ -1,6 +1,7 @@
 #include "pomelomill/config/parse.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <utility>
 
@@ -244,8 +245,8 @@
     const double slots = static_cast<double>(pool.size) * pool.slots;
     if (load > slots) {
       reader.Report("size", "the mean load of its queues takes " +
-                                NumberText(load) + " slots, the pool has " +
-                                NumberText(slots));
+                                NumberText(std::ceil(load)) +
+                                " slots, the pool has " + NumberText(slots));
     }
   }
 
--- a/libs/config/src/values.cc
+++ b/libs/config/src/values.cc
@@ -62,9 +62,13 @@
 }
 
 std::string NumberText(double number) {
-  std::array<char, 32> buf{};
-  const auto [end, ec] =
-      std::to_chars(buf.data(), buf.data() + buf.size(), number);
+  std::array<char, 64> buf{};
+  // Fixed notation of other numbers may exceed the buffer.
+  const double size = std::abs(number);
+  const bool is_fixed = size == 0 || (size >= 1e-9 && size < 1e15);
+  const auto [end, ec] = std::to_chars(
+      buf.data(), buf.data() + buf.size(), number,
+      is_fixed ? std::chars_format::fixed : std::chars_format::scientific);
   return {buf.data(), end};
 }
 
