Add the router of one entry

Cause: the data plane needs one place that decides about queues, admission, endpoints, ejection, retries and hedges, and that can be run in virtual time. Change: libs/routing with Router (events in, actions out) and its parts: deadline queue, budget account, team quota, slot share, endpoint choice, ejection with a floor, retry and hedge budgets.

--- /dev/null
+++ b/libs/routing/include/pomelomill/routing/router.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "pomelomill/routing/actions.h"
+#include "pomelomill/routing/admission.h"
+#include "pomelomill/routing/budget_account.h"
+#include "pomelomill/routing/deadline_queue.h"
+#include "pomelomill/routing/endpoint_set.h"
+#include "pomelomill/routing/events.h"
+#include "pomelomill/routing/latency_estimate.h"
+#include "pomelomill/routing/retry_budget.h"
+#include "pomelomill/routing/token_bucket.h"
+
+namespace pomelomill {
+
+struct RouterOptions {
+  EntryId entry;
+  IncarnationId incarnation;
+  std::uint64_t seed = 1;
+  SlotPolicy slot_policy = SlotPolicy::kShare;
+  EjectionOptions ejection;
+  /// Retries as a share of fresh requests.
+  double retry_share = 0.1;
+  double hedge_share = 0.02;
+  std::uint32_t max_sends = 3;
+  Duration backoff = std::chrono::milliseconds(10);
+  /// No retry and no hedge within this time after shedding.
+  Duration calm_after_shedding = std::chrono::seconds(1);
+  /// An exchange may outlast the deadline by this time before it is broken
+  /// off, because breaking it off leaves the endpoint busy all the same.
+  Duration late_grace = std::chrono::seconds(2);
+};
+
+/// State of one queue for reports.
+struct QueueStatus {
+  QueueId queue;
+  std::size_t waiting = 0;
+  BudgetCounts counts;
+  double budget_left = 1;
+};
+
+/// Totals since the start.
+struct RouterCounters {
+  std::uint64_t arrived = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t sends = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t dropped = 0;
+};
+
+/// Queues, admission and endpoint choice of one entry. Pure: no sockets,
+/// threads or clocks. Each event returns what to do now.
+class Router {
+ public:
+  explicit Router(RouterOptions options);
+
+  std::vector<RouterAction> Handle(const RouterEvent& event, Instant now);
+
+  /// Attempts to this VM that have not ended; includes those whose request
+  /// has its response already. Read by drains.
+  std::uint32_t in_flight(const VmId& vm) const;
+  /// Requests without a response yet.
+  std::size_t open_requests() const { return requests_.size(); }
+  /// Attempts that have not ended.
+  std::size_t open_attempts() const { return attempts_.size(); }
+  LoadReport Report(Instant now) const;
+  std::vector<QueueStatus> queue_status(Instant now) const;
+  const RouterCounters& counters() const { return counters_; }
+  const EndpointSet& endpoints() const { return endpoints_; }
+
+ private:
+  enum class State { kWaiting, kBackoff, kInFlight };
+
+  struct Request {
+    QueueId queue;
+    Instant deadline{};
+    bool is_repeatable = false;
+    State state = State::kWaiting;
+    Instant timer_at{};
+    std::optional<Instant> hedge_at;
+    std::uint32_t sends = 0;
+    std::uint32_t in_flight = 0;
+    /// An endpoint may have processed the request.
+    bool is_uncertain = false;
+    OutcomeReason last_failure = OutcomeReason::kAttemptFailed;
+    /// Endpoint of the latest attempt; a retry or hedge avoids it.
+    VmId last_vm;
+  };
+
+  struct Attempt {
+    RequestId request;
+    QueueId queue;
+    VmId vm;
+    Instant sent_at{};
+  };
+
+  struct Queue {
+    QueueDeclaration declaration;
+    PoolId pool;
+    DeadlineQueue waiting;
+    BudgetAccount account;
+    LatencyEstimate latency;
+  };
+
+  struct Pool {
+    std::vector<QueueId> queues;
+    RetryBudget retries;
+    RetryBudget hedges;
+    std::optional<Instant> calm_at;
+  };
+
+  enum class TimerKind { kRequest, kHedge };
+  using Timer = std::tuple<Instant, TimerKind, RequestId>;
+
+  void On(const RequestArrived& event);
+  void On(const RequestCancelled& event);
+  void On(const AttemptFinished& event);
+  void On(const ProbeFinished& event);
+  void On(const EndpointTableChanged& event);
+  void On(const DeclarationsChanged& event);
+  void On(const PeerLoadReceived& event);
+  void On(const EndpointLeaving& event);
+  void On(const SendPermitChanged& event);
+  void On(const SlotLoanChanged& event);
+  void On(const TimerTick& event);
+
+  bool TakeQuota(const TeamId& team, RequestId request);
+  bool HasUsableEndpoint(const PoolId& pool) const;
+  /// True when the arrival may wait; sheds others for it when their queues
+  /// have more budget left.
+  bool MakeRoom(Queue& queue, Instant deadline);
+  Duration PredictedWait(const Queue& queue, Instant deadline) const;
+  void Enqueue(RequestId id, Request& request, Queue& queue);
+  /// Responds to waiting requests of queues that are not declared any more.
+  void GiveUpUndeclared();
+  void Dispatch(const PoolId& pool);
+  void DispatchAll();
+  void Send(RequestId id, Request& request, Queue& queue, const VmId& vm,
+            bool is_hedge);
+  void Hedge(RequestId id);
+  bool ScheduleRetry(RequestId id, Request& request, Queue& queue,
+                     const AttemptFinished& event);
+  void OnRequestTimer(RequestId id);
+  /// Final response; removes the request.
+  void Finish(RequestId id, Outcome outcome, OutcomeReason reason,
+              AttemptId attempt = {}, bool counts_as_answered = false);
+  /// Not run or unknown, by what is known about the request's attempts.
+  void GiveUp(RequestId id, OutcomeReason reason);
+  void Shed(RequestId id, OutcomeReason reason);
+  void Remove(RequestId id);
+  void SetTimer(RequestId id, Request& request, Instant at);
+  bool IsShedding(const Pool& pool) const;
+  Duration RetryAfter(const PoolId& pool) const;
+  Queue* FindQueue(const QueueId& id);
+  std::vector<QueueView> Views(const Pool& pool) const;
+  double QuotaShare() const;
+  void RequestWakeUp();
+
+  RouterOptions options_;
+  Random random_;
+  EndpointSet endpoints_;
+  std::shared_ptr<const Declarations> declarations_;
+  std::vector<EntryShare> shares_;
+  std::map<QueueId, Queue> queues_;
+  std::map<PoolId, Pool> pools_;
+  std::map<TeamId, TokenBucket> quotas_;
+  std::unordered_map<RequestId, Request> requests_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::set<Timer> timers_;
+  AttemptId next_attempt_{1};
+  /// Nothing is sent before membership has given a permit.
+  Instant permit_until_{};
+  std::optional<Instant> wake_at_;
+  RouterCounters counters_;
+  /// Valid during Handle().
+  Instant now_{};
+  std::vector<RouterAction> actions_;
+};
+
+}  // namespace pomelomill
--- /dev/null
+++ b/libs/routing/test/router_fixture.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pomelomill/routing.h"
+
+namespace pomelomill {
+
+inline constexpr int kVms = 4;
+
+/// One pool of four VMs with two queues of service "proof": "layout"
+/// (repeatable) and "order" (not repeatable); a second pool "spare".
+inline std::shared_ptr<const Declarations> TestDeclarations() {
+  auto it = std::make_shared<Declarations>();
+  for (const char* name : {"main", "spare"}) {
+    PoolDeclaration pool;
+    pool.id = PoolId(name);
+    pool.slots = 4;
+    pool.connections = 16;
+    it->pools[pool.id] = pool;
+  }
+  it->services[ServiceId("proof")] = {
+      .id = ServiceId("proof"), .pool = PoolId("main"), .title = "proof"};
+  for (const char* name : {"proof/layout", "proof/order"}) {
+    QueueDeclaration queue;
+    queue.id = QueueId(name);
+    queue.service = ServiceId("proof");
+    queue.is_repeatable = queue.id == QueueId("proof/layout");
+    queue.max_waiting = 16;
+    it->queues[queue.id] = queue;
+  }
+  TeamDeclaration team;
+  team.id = TeamId("limited");
+  team.max_rate = 2;
+  it->teams[team.id] = team;
+  return it;
+}
+
+inline VmId TestVm(int i) { return VmId("vm-" + std::to_string(i)); }
+
+/// The region of TestDeclarations() with two entries of equal weight.
+inline RegionState TestRegion() {
+  RegionState state;
+  for (int i = 0; i < kVms; ++i) {
+    VmState vm;
+    vm.pool = PoolId("main");
+    vm.address = "10.0.0." + std::to_string(i) + ":80";
+    vm.generation = Generation(1);
+    state.vms[TestVm(i)] = vm;
+  }
+  state.shares = {{EntryId("a"), IncarnationId("a1"), 1},
+                  {EntryId("b"), IncarnationId("b1"), 1}};
+  return state;
+}
+
+inline RouterOptions TestRouterOptions() {
+  RouterOptions options;
+  options.entry = EntryId("a");
+  options.incarnation = IncarnationId("a1");
+  return options;
+}
+
+/// Actions of one kind, in order.
+template <typename T>
+std::vector<T> Only(const std::vector<RouterAction>& actions) {
+  std::vector<T> found;
+  for (const RouterAction& it : actions) {
+    if (const T* action = std::get_if<T>(&it)) found.push_back(*action);
+  }
+  return found;
+}
+
+/// A router with permit, declarations and region in force.
+inline Router MakeTestRouter(const RegionState& region, Instant now,
+                             RouterOptions options = TestRouterOptions()) {
+  Router router(std::move(options));
+  router.Handle(DeclarationsChanged{TestDeclarations()}, now);
+  router.Handle(
+      EndpointTableChanged{std::make_shared<RegionState>(region), Version(1)},
+      now);
+  router.Handle(SendPermitChanged{Instant::max()}, now);
+  return router;
+}
+
+}  // namespace pomelomill
--- /dev/null
+++ b/libs/routing/test/router_test.cc
@@ -0,0 +1,332 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+#include "router_fixture.h"
+
+namespace pomelomill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(100)};
+
+RequestArrived Layout(std::uint64_t id, Instant deadline) {
+  return {.request = RequestId(id),
+          .queue = QueueId("proof/layout"),
+          .team = {},
+          .deadline = deadline,
+          .is_repeatable = true};
+}
+
+RequestArrived Order(std::uint64_t id, Instant deadline) {
+  RequestArrived event = Layout(id, deadline);
+  event.queue = QueueId("proof/order");
+  return event;
+}
+
+/// Sends of one queue on one VM, computed by scanning a list: earliest
+/// deadline first, refused on arrival when the work ahead would make it late,
+/// shed when the service time no longer fits.
+class NaiveQueue {
+ public:
+  NaiveQueue(std::uint32_t slots, Duration service)
+      : slots_(slots), service_(service) {}
+
+  void Arrive(RequestId id, Instant deadline, Instant now) {
+    Advance(now);
+    std::int64_t ahead = 0;
+    for (const auto& it : waiting_) ahead += it.first <= deadline ? 1 : 0;
+    if (waiting_.size() >= 16 ||
+        now + service_ * ahead / slots_ + service_ >= deadline) {
+      refused.push_back(id);
+      return;
+    }
+    waiting_.emplace_back(deadline, id);
+    Serve(now);
+  }
+
+  /// Runs up to `now`, ends of service before shedding at equal times.
+  void Advance(Instant now) {
+    while (true) {
+      Instant next = Instant::max();
+      for (const Instant end : busy_) next = std::min(next, end);
+      for (const auto& it : waiting_) {
+        next = std::min(next, it.first - service_);
+      }
+      if (next > now) return;
+      const auto end = std::find(busy_.begin(), busy_.end(), next);
+      if (end != busy_.end()) {
+        busy_.erase(end);
+      }
+      ShedLate(next);
+      Serve(next);
+    }
+  }
+
+  std::vector<RequestId> sent;
+  std::vector<RequestId> refused;
+
+ private:
+  void ShedLate(Instant now) {
+    std::sort(waiting_.begin(), waiting_.end());
+    while (!waiting_.empty() && waiting_.front().first - service_ <= now) {
+      refused.push_back(waiting_.front().second);
+      waiting_.erase(waiting_.begin());
+    }
+  }
+
+  void Serve(Instant now) {
+    std::sort(waiting_.begin(), waiting_.end());
+    while (!waiting_.empty() && busy_.size() < slots_) {
+      sent.push_back(waiting_.front().second);
+      waiting_.erase(waiting_.begin());
+      busy_.push_back(now + service_);
+    }
+  }
+
+  std::uint32_t slots_;
+  Duration service_;
+  std::vector<std::pair<Instant, RequestId>> waiting_;
+  std::vector<Instant> busy_;
+};
+
+// Guards against an order of service, a refusal or a shedding that differs
+// from the plain rules.
+TEST_CASE("one queue on one VM equals the naive queue") {
+  CHECK(rc::check(
+      [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& arrivals) {
+        const Duration service = milliseconds(100);
+        RegionState region = TestRegion();
+        while (region.vms.size() > 1)
+          region.vms.erase(std::prev(region.vms.end()));
+        region.shares.resize(1);
+        Router router = MakeTestRouter(region, kStart);
+        NaiveQueue naive(4, service);
+        VirtualTimerService timers;
+        timers.Advance(kStart.time_since_epoch());
+        std::vector<RequestId> sent;
+        std::vector<RequestId> refused;
+        std::function<void(const RouterEvent&)> feed =
+            [&](const RouterEvent& event) {
+              const auto actions = router.Handle(event, timers.Now());
+              for (const Respond& it : Only<Respond>(actions)) {
+                if (it.outcome == Outcome::kNotRun)
+                  refused.push_back(it.request);
+              }
+              for (const SendAttempt& it : Only<SendAttempt>(actions)) {
+                sent.push_back(it.request);
+                timers.ScheduleAfter(service, [&feed, id = it.attempt] {
+                  feed(AttemptFinished{id, AttemptResult::kAnswered, true});
+                });
+              }
+              for (const WakeAt& it : Only<WakeAt>(actions)) {
+                // One nanosecond later, so that ends of service at the same
+                // moment come first, as in the naive queue.
+                timers.ScheduleAt(it.when + Duration(1),
+                                  [&feed] { feed(TimerTick{}); });
+              }
+            };
+        std::uint64_t id = 1;
+        // Odd offsets keep arrivals and ends of service at different moments.
+        Duration at(0);
+        for (const auto& [wait, slack] : arrivals) {
+          const Duration gap = milliseconds(wait % 32) + Duration(997 * id);
+          at += gap;
+          timers.Advance(gap);
+          const Instant deadline =
+              timers.Now() + milliseconds(100 + slack * 2) + Duration(13 * id);
+          naive.Arrive(RequestId(id), deadline, timers.Now());
+          feed(Layout(id, deadline));
+          ++id;
+        }
+        timers.Advance(seconds(5));
+        naive.Advance(timers.Now());
+        std::sort(refused.begin(), refused.end());
+        std::sort(naive.refused.begin(), naive.refused.end());
+        RC_ASSERT(sent == naive.sent);
+        RC_ASSERT(refused == naive.refused);
+      }));
+}
+
+// Guards against holding back the response of a request that was given up.
+TEST_CASE("a request without a place gets its response at once") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  const auto actions =
+      router.Handle(Layout(1, kStart + milliseconds(50)), kStart);
+  const auto responses = Only<Respond>(actions);
+  REQUIRE(responses.size() == 1);
+  CHECK(responses[0].outcome == Outcome::kNotRun);
+  CHECK(responses[0].reason == OutcomeReason::kWouldMissDeadline);
+  CHECK(responses[0].retry_after >= seconds(1));
+}
+
+// Guards against sending work before membership has allowed it, and against
+// sending after a pause that outlasted the permit.
+TEST_CASE("nothing is sent without a permit") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  router.Handle(SendPermitChanged{kStart + seconds(5)}, kStart);
+  const Instant later = kStart + seconds(5);
+  const auto actions = router.Handle(Layout(1, later + seconds(2)), later);
+  CHECK(Only<SendAttempt>(actions).empty());
+  REQUIRE(Only<Respond>(actions).size() == 1);
+  CHECK(Only<Respond>(actions)[0].reason == OutcomeReason::kNoSendPermit);
+}
+
+// Guards against a retry that runs an order twice, and against a "not run"
+// that is not proven.
+TEST_CASE("an order whose attempt broke is unknown and never sent again") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  const auto sent =
+      Only<SendAttempt>(router.Handle(Order(1, kStart + seconds(2)), kStart));
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].needs_fresh_connection);
+  const auto after = router.Handle(
+      AttemptFinished{sent[0].attempt, AttemptResult::kFailed, true}, kStart);
+  REQUIRE(Only<Respond>(after).size() == 1);
+  CHECK(Only<Respond>(after)[0].outcome == Outcome::kUnknown);
+}
+
+// Guards against giving up an order that was certainly not sent.
+TEST_CASE("an order is tried elsewhere when no byte was sent") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  const auto sent =
+      Only<SendAttempt>(router.Handle(Order(1, kStart + seconds(2)), kStart));
+  REQUIRE(sent.size() == 1);
+  router.Handle(AttemptFinished{sent[0].attempt, AttemptResult::kFailed, false},
+                kStart);
+  const auto again =
+      Only<SendAttempt>(router.Handle(TimerTick{}, kStart + milliseconds(20)));
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].vm != sent[0].vm);
+}
+
+// Guards against a slow attempt that keeps a repeatable request waiting
+// although another endpoint is free.
+TEST_CASE("a slow repeatable request is hedged and the loser is dropped") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  const auto first =
+      Only<SendAttempt>(router.Handle(Layout(1, kStart + seconds(2)), kStart));
+  REQUIRE(first.size() == 1);
+  const Instant later = kStart + milliseconds(310);
+  const auto hedge = Only<SendAttempt>(router.Handle(TimerTick{}, later));
+  REQUIRE(hedge.size() == 1);
+  CHECK(hedge[0].is_hedge);
+  CHECK(hedge[0].vm != first[0].vm);
+  const auto won = Only<Respond>(router.Handle(
+      AttemptFinished{hedge[0].attempt, AttemptResult::kAnswered, true},
+      later));
+  REQUIRE(won.size() == 1);
+  CHECK(won[0].attempt == hedge[0].attempt);
+  CHECK(router.in_flight(first[0].vm) == 1);
+  const auto lost = router.Handle(
+      AttemptFinished{first[0].attempt, AttemptResult::kAnswered, true}, later);
+  CHECK(Only<Respond>(lost).empty());
+  CHECK(Only<DropResponse>(lost).size() == 1);
+  CHECK(router.in_flight(first[0].vm) == 0);
+}
+
+// Guards against an endpoint that fails its requests and stays in the pool,
+// and against one that returns without having been probed.
+TEST_CASE("a failing endpoint is ejected, probed and returns") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  Instant now = kStart;
+  std::uint64_t id = 1;
+  const VmId bad = TestVm(2);
+  std::vector<ProbeEndpoint> probes;
+  // Eight requests at once use every slot of the share, so that the bad
+  // endpoint cannot be avoided by choosing others.
+  for (int i = 0; i < 3; ++i) {
+    now += milliseconds(5);
+    std::vector<SendAttempt> sent;
+    for (int n = 0; n < 8; ++n) {
+      const auto actions = router.Handle(Layout(id++, now + seconds(2)), now);
+      for (const auto& it : Only<SendAttempt>(actions)) sent.push_back(it);
+    }
+    CHECK(sent.size() == 8);
+    for (const SendAttempt& it : sent) {
+      const AttemptResult result = it.vm == bad
+                                       ? AttemptResult::kAnsweredWithError
+                                       : AttemptResult::kAnswered;
+      router.Handle(AttemptFinished{it.attempt, result, true},
+                    now + milliseconds(1));
+    }
+  }
+  REQUIRE(router.endpoints().is_ejected(bad));
+  now += milliseconds(1100);
+  probes = Only<ProbeEndpoint>(router.Handle(TimerTick{}, now));
+  REQUIRE(probes.size() == 1);
+  CHECK(probes[0].vm == bad);
+  const ProbeFinished good{bad, true, false, Generation(1)};
+  router.Handle(good, now);
+  CHECK(router.endpoints().is_ejected(bad));
+  router.Handle(good, now + seconds(1));
+  CHECK(!router.endpoints().is_ejected(bad));
+}
+
+// Guards against new work for an endpoint that refuses as draining.
+TEST_CASE("an endpoint that refuses as draining gets no work until restart") {
+  RegionState region = TestRegion();
+  while (region.vms.size() > 2) region.vms.erase(std::prev(region.vms.end()));
+  Router router = MakeTestRouter(region, kStart);
+  router.Handle(ProbeFinished{TestVm(0), true, true, Generation(1)}, kStart);
+  for (std::uint64_t id = 1; id <= 8; ++id) {
+    for (const SendAttempt& it : Only<SendAttempt>(
+             router.Handle(Layout(id, kStart + seconds(2)), kStart))) {
+      CHECK(it.vm == TestVm(1));
+    }
+  }
+  CHECK(router.Report(kStart).draining.contains(TestVm(0)));
+  region.vms.at(TestVm(0)).generation = Generation(2);
+  const auto actions = router.Handle(
+      EndpointTableChanged{std::make_shared<RegionState>(region), Version(2)},
+      kStart + milliseconds(100));
+  const auto sent = Only<SendAttempt>(actions);
+  REQUIRE(!sent.empty());
+  for (const SendAttempt& it : sent) CHECK(it.vm == TestVm(0));
+}
+
+// Guards against a share that grows before the entry that gave it up knows.
+TEST_CASE("a share shrinks at once and grows after a delay") {
+  RegionState region = TestRegion();
+  Router router = MakeTestRouter(region, kStart);
+  CHECK(router.endpoints().Limit(TestVm(0), kStart) == 2);
+  region.shares[1].weight = 0;
+  router.Handle(
+      EndpointTableChanged{std::make_shared<RegionState>(region), Version(2)},
+      kStart);
+  CHECK(router.endpoints().Limit(TestVm(0), kStart + seconds(2)) == 2);
+  CHECK(router.endpoints().Limit(TestVm(0), kStart + seconds(3)) == 4);
+  region.shares[1].weight = 3;
+  router.Handle(
+      EndpointTableChanged{std::make_shared<RegionState>(region), Version(3)},
+      kStart + seconds(4));
+  CHECK(router.endpoints().Limit(TestVm(0), kStart + seconds(4)) == 1);
+}
+
+// Guards against requests of a queue that was removed and would wait forever.
+TEST_CASE("requests of a removed queue are refused at once") {
+  RegionState region = TestRegion();
+  region.vms.erase(std::next(region.vms.begin()), region.vms.end());
+  Router router = MakeTestRouter(region, kStart);
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    router.Handle(Layout(id, kStart + seconds(2)), kStart);
+    router.Handle(Order(100 + id, kStart + seconds(2)), kStart);
+  }
+  auto changed = std::make_shared<Declarations>(*TestDeclarations());
+  changed->queues.erase(QueueId("proof/layout"));
+  const auto responses =
+      Only<Respond>(router.Handle(DeclarationsChanged{changed}, kStart));
+  REQUIRE(!responses.empty());
+  for (const Respond& it : responses) {
+    CHECK(it.outcome == Outcome::kNotRun);
+    CHECK(it.reason == OutcomeReason::kNoSuchQueue);
+  }
+}
+
+}  // namespace
+}  // namespace pomelomill
