--- a/libs/membership/include/pomelomill/membership/registrations.h
+++ b/libs/membership/include/pomelomill/membership/registrations.h
@@ -25,11 +25,12 @@
  public:
   explicit Registrations(MembershipSettings settings) : settings_(settings) {}
 
-  /// Takes a complete listing; `received` is when its response arrived and
-  /// `known` the highest version of the region state that this entry knew to
-  /// be in the store when it requested the listing.
+  /// Takes a complete listing that was requested at `sent` and arrived at
+  /// `received`; `known` is the highest version of the region state that this
+  /// entry knew to be in the store at `sent`. A listing that was requested
+  /// before one that has been taken is ignored.
   void Observe(const std::vector<Registration>& listing, Version known,
-               Instant received);
+               Instant sent, Instant received);
 
   /// Forgets everything, for a new holder of the control lease.
   void Clear();
@@ -52,6 +53,7 @@
   MembershipSettings settings_;
   std::map<IncarnationId, Registration> current_;
   std::optional<Instant> first_;
+  Instant sent_ = Instant::min();
   Version known_;
   /// When an incarnation was first missed after having been listed.
   std::map<IncarnationId, Instant> missed_;
--- a/libs/membership/src/registrations.cc
+++ b/libs/membership/src/registrations.cc
@@ -6,7 +6,9 @@
 namespace pomelomill {
 
 void Registrations::Observe(const std::vector<Registration>& listing,
-                            Version known, Instant received) {
+                            Version known, Instant sent, Instant received) {
+  if (sent < sent_) return;
+  sent_ = sent;
   if (!first_) first_ = received;
   std::map<IncarnationId, Registration> next;
   for (const Registration& item : listing) next.emplace(item.incarnation, item);
--- a/libs/peer/include/pomelomill/peer/change_list.h
+++ b/libs/peer/include/pomelomill/peer/change_list.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <utility>
 #include <vector>
 
 namespace pomelomill {
@@ -14,19 +13,26 @@
 template <typename Key, typename Value>
 class ChangeList {
  public:
+  struct Item {
+    Value value;
+    std::uint64_t sequence = 0;
+  };
+
   /// Stores the item; `sequence` is the number of this change, higher than
-  /// those of all earlier changes. An equal value is no change.
-  void Set(const Key& key, const Value& value, std::uint64_t sequence) {
+  /// those of all earlier changes. False when the value is the same as before,
+  /// which is no change.
+  bool Set(const Key& key, const Value& value, std::uint64_t sequence) {
     const auto it = items_.find(key);
-    if (it != items_.end() && it->second.value == value) return;
+    if (it != items_.end() && it->second.value == value) return false;
     items_[key] = Item{value, sequence};
+    return true;
   }
 
   /// Items that changed after `sequence`.
-  std::vector<Value> Since(std::uint64_t sequence) const {
-    std::vector<Value> changed;
+  std::vector<Item> Since(std::uint64_t sequence) const {
+    std::vector<Item> changed;
     for (const auto& [key, item] : items_) {
-      if (item.sequence > sequence) changed.push_back(item.value);
+      if (item.sequence > sequence) changed.push_back(item);
     }
     return changed;
   }
@@ -39,10 +45,6 @@
   std::size_t size() const { return items_.size(); }
 
  private:
-  struct Item {
-    Value value;
-    std::uint64_t sequence = 0;
-  };
   std::map<Key, Item> items_;
 };
 
--- a/libs/peer/src/peer_client.cc
+++ b/libs/peer/src/peer_client.cc
@@ -8,6 +8,7 @@
 #include <map>
 #include <mutex>
 #include <set>
+#include <thread>
 #include <utility>
 
 #include "peer.grpc.pb.h"
@@ -61,11 +62,46 @@
   Calls calls;
 };
 
-template <typename WireRequest, typename WireReply>
-struct Call {
+/// One outgoing call; ends when the completion queue returns it.
+class Call {
+ public:
+  virtual ~Call() = default;
+  virtual void Ended() = 0;
+
   grpc::ClientContext context;
-  WireRequest request;
+};
+
+template <typename Reply, typename WireReply>
+class TypedCall : public Call {
+ public:
+  TypedCall(std::shared_ptr<Shared> shared, PeerCallback<Reply> done)
+      : shared_(std::move(shared)), done_(std::move(done)) {}
+
+  void Ended() override {
+    Result<Reply> result = Unexpected(PeerError::kFailed);
+    if (status.ok()) {
+      shared_->traffic.Received(reply.ByteSizeLong());
+      result = wire::FromWire(reply);
+    } else {
+      result = Unexpected(wire::ErrorOf(status));
+    }
+    if (!result) shared_->traffic.Failed();
+    if (!shared_->calls.is_stopping()) {
+      shared_->post([done = std::move(done_), result = std::move(result),
+                     shared = shared_]() mutable {
+        if (!shared->calls.is_stopping()) done(std::move(result));
+      });
+    }
+    shared_->calls.Remove(&context);
+  }
+
+  std::unique_ptr<grpc::ClientAsyncResponseReader<WireReply>> reader;
   WireReply reply;
+  grpc::Status status;
+
+ private:
+  std::shared_ptr<Shared> shared_;
+  PeerCallback<Reply> done_;
 };
 
 /// gRPC takes deadlines on the wall clock only; a jump of that clock makes
@@ -83,20 +119,34 @@
   Impl(Poster post, PeerOptions options)
       : options_(options), shared_(std::make_shared<Shared>()) {
     shared_->post = std::move(post);
+    thread_ = std::thread([this] {
+      void* tag = nullptr;
+      bool ok = false;
+      while (queue_.Next(&tag, &ok)) {
+        const std::unique_ptr<Call> call(static_cast<Call*>(tag));
+        call->Ended();
+      }
+    });
   }
 
-  ~Impl() { shared_->calls.CancelAndWait(); }
+  ~Impl() {
+    shared_->calls.CancelAndWait();
+    queue_.Shutdown();
+    thread_.join();
+  }
 
   template <typename Reply, typename WireRequest, typename WireReply,
             typename Request>
   void Start(const std::string& address, const Request& request,
              Duration timeout, PeerCallback<Reply> done,
-             void (peer::Peer::Stub::async::*method)(
-                 grpc::ClientContext*, const WireRequest*, WireReply*,
-                 std::function<void(grpc::Status)>)) {
-    auto call = std::make_shared<Call<WireRequest, WireReply>>();
-    wire::ToWire(request, &call->request);
-    const std::size_t bytes = call->request.ByteSizeLong();
+             std::unique_ptr<grpc::ClientAsyncResponseReader<WireReply>> (
+                 peer::Peer::Stub::*prepare)(grpc::ClientContext*,
+                                             const WireRequest&,
+                                             grpc::CompletionQueue*)) {
+    WireRequest wire_request;
+    wire::ToWire(request, &wire_request);
+    const std::size_t bytes = wire_request.ByteSizeLong();
+    auto call = std::make_unique<TypedCall<Reply, WireReply>>(shared_, done);
     std::error_code error;
     if (bytes > options_.max_message_bytes) {
       error = PeerError::kTooLarge;
@@ -112,27 +162,12 @@
     }
     shared_->traffic.Sent(bytes);
     call->context.set_deadline(DeadlineAfter(timeout));
-    peer::Peer::Stub* stub = StubFor(address);
-    (stub->async()->*method)(
-        &call->context, &call->request, &call->reply,
-        [shared = shared_, call,
-         done = std::move(done)](const grpc::Status& status) mutable {
-          Result<Reply> result = Unexpected(PeerError::kFailed);
-          if (status.ok()) {
-            shared->traffic.Received(call->reply.ByteSizeLong());
-            result = wire::FromWire(call->reply);
-          } else {
-            result = Unexpected(wire::ErrorOf(status));
-          }
-          if (!result) shared->traffic.Failed();
-          if (!shared->calls.is_stopping()) {
-            shared->post([done = std::move(done), result = std::move(result),
-                          shared]() mutable {
-              if (!shared->calls.is_stopping()) done(std::move(result));
-            });
-          }
-          shared->calls.Remove(&call->context);
-        });
+    call->reader =
+        (StubFor(address)->*prepare)(&call->context, wire_request, &queue_);
+    call->reader->StartCall();
+    call->reader->Finish(&call->reply, &call->status, call.get());
+    // The completion queue returns the object as a tag.
+    (void)call.release();
   }
 
   PeerTraffic traffic() const { return shared_->traffic.Snapshot(); }
@@ -176,6 +211,10 @@
 
   PeerOptions options_;
   std::shared_ptr<Shared> shared_;
+  /// Has one thread, which only passes messages on; see Queue in
+  /// peer_server.cc for why the callback API is not used.
+  grpc::CompletionQueue queue_;
+  std::thread thread_;
   std::map<std::string, Channel> channels_;
   std::uint64_t uses_ = 0;
 };
@@ -190,7 +229,7 @@
                           PeerCallback<ExchangeMessage> done) {
   impl_->Start<ExchangeMessage, peer::ExchangeMessage, peer::ExchangeMessage>(
       address, message, timeout, std::move(done),
-      &peer::Peer::Stub::async::Exchange);
+      &peer::Peer::Stub::PrepareAsyncExchange);
 }
 
 void PeerClient::FetchState(const std::string& address,
@@ -198,7 +237,7 @@
                             PeerCallback<FetchStateReply> done) {
   impl_->Start<FetchStateReply, peer::FetchStateRequest, peer::FetchStateReply>(
       address, request, timeout, std::move(done),
-      &peer::Peer::Stub::async::FetchState);
+      &peer::Peer::Stub::PrepareAsyncFetchState);
 }
 
 void PeerClient::RunKeyed(const std::string& address,
@@ -206,7 +245,7 @@
                           PeerCallback<RunKeyedReply> done) {
   impl_->Start<RunKeyedReply, peer::RunKeyedRequest, peer::RunKeyedReply>(
       address, request, timeout, std::move(done),
-      &peer::Peer::Stub::async::RunKeyed);
+      &peer::Peer::Stub::PrepareAsyncRunKeyed);
 }
 
 void PeerClient::LendSlots(const std::string& address,
@@ -214,7 +253,7 @@
                            PeerCallback<LendSlotsReply> done) {
   impl_->Start<LendSlotsReply, peer::LendSlotsRequest, peer::LendSlotsReply>(
       address, request, timeout, std::move(done),
-      &peer::Peer::Stub::async::LendSlots);
+      &peer::Peer::Stub::PrepareAsyncLendSlots);
 }
 
 void PeerClient::ReturnSlots(const std::string& address,
@@ -222,9 +261,9 @@
                              Duration timeout,
                              PeerCallback<ReturnSlotsReply> done) {
   impl_->Start<ReturnSlotsReply, peer::ReturnSlotsRequest,
-               peer::ReturnSlotsReply>(address, request, timeout,
-                                       std::move(done),
-                                       &peer::Peer::Stub::async::ReturnSlots);
+               peer::ReturnSlotsReply>(
+      address, request, timeout, std::move(done),
+      &peer::Peer::Stub::PrepareAsyncReturnSlots);
 }
 
 PeerTraffic PeerClient::traffic() const { return impl_->traffic(); }
--- a/libs/peer/src/pending_call.h
+++ b/libs/peer/src/pending_call.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <grpcpp/support/server_callback.h>
-
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <set>
+#include <utility>
 
 #include "pomelomill/peer/peer_error.h"
 #include "status_codes.h"
@@ -17,7 +17,9 @@
 /// callback, or the stop of the server.
 class PendingCall {
  public:
-  explicit PendingCall(grpc::ServerUnaryReactor* reactor) : reactor_(reactor) {}
+  using Finisher = std::function<void(const grpc::Status&)>;
+
+  explicit PendingCall(Finisher finish) : finish_(std::move(finish)) {}
   PendingCall(const PendingCall&) = delete;
   PendingCall& operator=(const PendingCall&) = delete;
 
@@ -26,15 +28,14 @@
   void Finish(const grpc::Status& status,
               const std::function<void()>& fill = nullptr) {
     const std::lock_guard lock(mutex_);
-    if (reactor_ == nullptr) return;
+    if (!finish_) return;
     if (fill) fill();
-    reactor_->Finish(status);
-    reactor_ = nullptr;
+    std::exchange(finish_, nullptr)(status);
   }
 
  private:
   std::mutex mutex_;
-  grpc::ServerUnaryReactor* reactor_;
+  Finisher finish_;
 };
 
 /// All calls in progress of one server.
@@ -44,10 +45,10 @@
 
   /// A handle for a new call that ends the call when its last copy goes away
   /// unanswered; null when there are too many calls or the server is stopping.
-  std::shared_ptr<PendingCall> Add(grpc::ServerUnaryReactor* reactor) {
+  std::shared_ptr<PendingCall> Add(PendingCall::Finisher finish) {
     const std::lock_guard lock(mutex_);
     if (is_stopping_ || calls_.size() >= limit_) return nullptr;
-    auto call = std::make_shared<PendingCall>(reactor);
+    auto call = std::make_shared<PendingCall>(std::move(finish));
     calls_.insert(call);
     return {call.get(), [this, call](PendingCall* /*unused*/) mutable {
               call->Finish(StatusOf(PeerError::kRefused));
