Give joining and leaving entries no slots

Cause: an entry whose share is announced or withdrawn counted as owner of its slots, so an old and a new incarnation could use the same slots at once. Change: ShareOf returns 0 unless the share is active; the weight still counts in the sum, so the other entries' parts do not change.

--- a/libs/routing/src/slot_share.cc
+++ b/libs/routing/src/slot_share.cc
@@ -10,8 +10,9 @@
   std::uint64_t weight = 0;
   for (const EntryShare& share : shares) {
     if (share.entry == entry && share.incarnation == incarnation) {
+      // Joining and leaving entries count in the sum but use nothing.
       before = sum;
-      weight = share.weight;
+      weight = share.phase == SharePhase::kActive ? share.weight : 0;
     }
     sum += share.weight;
   }
--- a/libs/routing/test/parts_test.cc
+++ b/libs/routing/test/parts_test.cc
@@ -137,6 +137,26 @@
   }));
 }
 
+// Guards against an entry that uses its share before the old owner has given
+// it up, or after it has.
+TEST_CASE("joining and leaving entries own no slots") {
+  std::vector<EntryShare> shares;
+  for (int i = 0; i < 3; ++i) {
+    shares.push_back({EntryId("e" + std::to_string(i)), IncarnationId("i"), 1});
+  }
+  const VmId vm("vm-1");
+  const auto share = [&](int i) {
+    return ShareOf(shares, shares[i].entry, IncarnationId("i"), vm, 9);
+  };
+  CHECK(share(1) == 3);
+  for (const SharePhase phase : {SharePhase::kJoining, SharePhase::kLeaving}) {
+    shares[1].phase = phase;
+    CHECK(share(1) == 0);
+    CHECK(share(0) == 3);
+    CHECK(share(2) == 3);
+  }
+}
+
 // Guards against entries that own no slot anywhere when there are more
 // entries than slots of one VM.
 TEST_CASE("remainders of shares rotate over the VMs of a pool") {
