--- a/libs/planner/include/pomelomill/planner/exhaustive_planner.h
+++ b/libs/planner/include/pomelomill/planner/exhaustive_planner.h
@@ -17,6 +17,8 @@
   std::uint32_t uncovered_queues = 0;
   std::uint32_t moves = 0;
 
+  // clang-tidy 14 takes the rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const AssignmentCost&) const = default;
 };
 
--- a/libs/planner/include/pomelomill/planner/pool_need.h
+++ b/libs/planner/include/pomelomill/planner/pool_need.h
@@ -50,8 +50,12 @@
   /// Mean demand with its random variation; must remain after the loss of
   /// the largest rack.
   std::uint32_t base = 0;
-  /// A peak of any one queue while the others stay at their mean.
+  /// A peak of any one queue while the others stay at their mean, for each
+  /// peak of the window.
   std::uint32_t peak = 0;
+  /// The same for one single peak, which may spend more of the budget; for the
+  /// time that a VM is out for maintenance.
+  std::uint32_t peak_once = 0;
   std::vector<QueueNeed> queues;
 };
 
@@ -61,6 +65,9 @@
   double demand_scale = 1;
   /// Share of the remaining budget that peaks may spend.
   double peak_budget_share = 0.5;
+  /// Share of the remaining budget that one single peak may spend while VMs
+  /// are out for maintenance.
+  double single_peak_share = 0.25;
   /// Share of the declared budget that random variation of the mean demand
   /// may spend.
   double base_budget_share = 0.25;
--- /dev/null
+++ b/libs/planner/src/assignment.cc
@@ -0,0 +1,267 @@
+#include "assignment.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace pomelomill {
+namespace {
+
+std::uint32_t Missing(std::uint32_t wanted, std::uint32_t present) {
+  return wanted > present ? wanted - present : 0;
+}
+
+std::uint32_t CountOf(const std::vector<DomainCount>& counts, int domain) {
+  for (const DomainCount& it : counts) {
+    if (it.domain == domain) return it.count;
+  }
+  return 0;
+}
+
+void Change(std::vector<DomainCount>& counts, int domain, int delta) {
+  for (DomainCount& it : counts) {
+    if (it.domain != domain) continue;
+    it.count += delta;
+    return;
+  }
+  counts.push_back({domain, static_cast<std::uint32_t>(delta)});
+}
+
+/// Largest count with `domain` changed by `delta`.
+std::uint32_t Largest(const std::vector<DomainCount>& counts, int domain,
+                      int delta) {
+  std::uint32_t largest = delta > 0 ? 1 : 0;
+  for (const DomainCount& it : counts) {
+    const std::uint32_t n = it.domain == domain ? it.count + delta : it.count;
+    largest = std::max(largest, n);
+  }
+  return largest;
+}
+
+/// Numbers names from 0 in the order of their first use.
+template <typename Id>
+class Indexer {
+ public:
+  int operator()(const Id& id) {
+    return index_.try_emplace(id, static_cast<int>(index_.size()))
+        .first->second;
+  }
+  std::uint32_t size() const {
+    return static_cast<std::uint32_t>(index_.size());
+  }
+
+ private:
+  std::unordered_map<Id, int> index_;
+};
+
+}  // namespace
+
+Assignment::Assignment(const PlannerInput& input,
+                       const PlannerOptions& options) {
+  NeedOptions donor = options.need;
+  donor.demand_scale *= options.donor_demand_scale;
+  for (const auto& [id, queues] :
+       CollectQueues(*input.declarations, input.state->region, input.demand)) {
+    AssignedPool pool;
+    pool.declaration = &input.declarations->pools.at(id);
+    pool.need = ComputePoolNeed(*pool.declaration, queues, options.need);
+    pool.donor_need = ComputePoolNeed(*pool.declaration, queues, donor);
+    pools_.push_back(std::move(pool));
+  }
+  ReadVms(input);
+  ReadWaves(input);
+}
+
+void Assignment::ReadVms(const PlannerInput& input) {
+  std::unordered_map<PoolId, int> index;
+  for (std::size_t i = 0; i < pools_.size(); ++i)
+    index[pools_[i].declaration->id] = static_cast<int>(i);
+  std::unordered_map<VmId, const Intent*> open;
+  for (const auto& [id, intent] : input.state->intents) {
+    if (intent.step != IntentStep::kDone) open[intent.vm] = &intent;
+  }
+  Indexer<RackId> racks;
+  Indexer<ZoneId> zones;
+  for (const auto& [id, state] : input.state->vms) {
+    AssignedVm vm;
+    vm.id = id;
+    vm.rack = racks(state.rack);
+    vm.zone = zones(state.zone);
+    const auto intent = open.find(id);
+    const bool has_intent = intent != open.end();
+    const bool is_moving =
+        has_intent && intent->second->kind == IntentKind::kMove;
+    const bool is_stopping =
+        has_intent && intent->second->kind == IntentKind::kStop;
+    if (is_moving) ++open_moves_;
+    const auto pool =
+        index.find(is_moving ? intent->second->target_pool : state.pool);
+    if (pool == index.end()) continue;
+    vm.pool = pool->second;
+    const bool is_lost =
+        input.lost.contains(id) || state.phase == VmPhase::kLost;
+    vm.is_stopped = state.phase == VmPhase::kStopped && !has_intent && !is_lost;
+    vm.is_in_service = !is_lost && !vm.is_stopped && !is_stopping;
+    vm.is_movable = !is_lost && !has_intent &&
+                    !input.in_maintenance.contains(id) &&
+                    (state.phase == VmPhase::kActive || vm.is_stopped);
+    if (is_lost) ++pools_[vm.pool].lost;
+    if (vm.is_in_service) Add(vm, 1);
+    vms_.push_back(std::move(vm));
+  }
+  rack_count_ = racks.size();
+  zone_count_ = zones.size();
+}
+
+void Assignment::ReadWaves(const PlannerInput& input) {
+  std::unordered_map<VmId, int> pool_of;
+  for (const AssignedVm& it : vms_) pool_of[it.id] = it.pool;
+  std::vector<std::uint32_t> out(pools_.size(), 0);
+  for (const VmId& it : input.in_maintenance) {
+    if (const auto pool = pool_of.find(it); pool != pool_of.end())
+      ++out[pool->second];
+  }
+  for (const auto& [id, wave] : input.state->waves) {
+    if (wave.phase != WavePhase::kRunning && wave.phase != WavePhase::kWaiting)
+      continue;
+    for (const VmId& it : wave.pending) {
+      if (const auto pool = pool_of.find(it); pool != pool_of.end())
+        pools_[pool->second].wave = 1;
+    }
+  }
+  for (std::size_t i = 0; i < pools_.size(); ++i)
+    pools_[i].wave = std::max(pools_[i].wave, out[i]);
+}
+
+void Assignment::Add(const AssignedVm& vm, int delta) {
+  AssignedPool& pool = pools_[vm.pool];
+  pool.in_service += delta;
+  Change(pool.racks, vm.rack, delta);
+  Change(pool.zones, vm.zone, delta);
+}
+
+void Assignment::Move(int vm, int pool) {
+  AssignedVm& it = vms_[vm];
+  if (it.is_in_service) Add(it, -1);
+  it.pool = pool;
+  it.is_in_service = true;
+  it.is_stopped = false;
+  Add(it, 1);
+}
+
+void Assignment::Restore(int vm, const AssignedVm& before) {
+  if (vms_[vm].is_in_service) Add(vms_[vm], -1);
+  vms_[vm] = before;
+  if (before.is_in_service) Add(before, 1);
+}
+
+void Assignment::Start(int vm) { Move(vm, vms_[vm].pool); }
+
+void Assignment::Stop(int vm) {
+  AssignedVm& it = vms_[vm];
+  Add(it, -1);
+  it.is_in_service = false;
+  it.is_stopped = true;
+}
+
+Shortage Assignment::Evaluate(const AssignedPool& pool, const PoolNeed& need,
+                              std::uint32_t count, std::uint32_t rack,
+                              std::uint32_t zone) const {
+  Shortage shortage;
+  shortage.base =
+      Missing(std::max(need.base, pool.declaration->min_size), count);
+  const auto include = [&](std::uint32_t wanted) {
+    const std::uint32_t missing = Missing(wanted, count);
+    shortage.joint = std::max(shortage.joint, missing);
+    shortage.sum += missing;
+  };
+  include(std::max(need.base, pool.declaration->min_size));
+  include(need.peak);
+  include(need.peak_once + pool.wave);
+  include(need.base + rack + pool.wave);
+  if (zone_count_ > 1) include(need.stable + zone);
+  return shortage;
+}
+
+Shortage Assignment::ShortageOf(int pool, const PoolNeed& need) const {
+  const AssignedPool& it = pools_[pool];
+  return Evaluate(it, need, it.in_service, Largest(it.racks, -1, 0),
+                  Largest(it.zones, -1, 0));
+}
+
+Shortage Assignment::ShortageWith(int pool, const PoolNeed& need, int vm,
+                                  int delta) const {
+  const AssignedPool& it = pools_[pool];
+  return Evaluate(it, need, it.in_service + delta,
+                  Largest(it.racks, vms_[vm].rack, delta),
+                  Largest(it.zones, vms_[vm].zone, delta));
+}
+
+std::uint32_t Assignment::InRack(int pool, int rack) const {
+  return CountOf(pools_[pool].racks, rack);
+}
+
+std::uint32_t Assignment::InZone(int pool, int zone) const {
+  return CountOf(pools_[pool].zones, zone);
+}
+
+std::uint32_t Assignment::Uncovered(const AssignedPool& pool,
+                                    const PoolNeed& need, std::uint32_t count,
+                                    std::uint32_t rack,
+                                    std::uint32_t zone) const {
+  // A pool that does not survive a loss covers none of its queues.
+  const bool survives = count >= need.base + rack + pool.wave &&
+                        count >= need.peak_once + pool.wave &&
+                        count >= pool.declaration->min_size &&
+                        (zone_count_ <= 1 || count >= need.stable + zone);
+  if (!survives) return static_cast<std::uint32_t>(need.queues.size());
+  std::uint32_t uncovered = 0;
+  for (const QueueNeed& queue : need.queues) {
+    if (count < queue.peak) ++uncovered;
+  }
+  return uncovered;
+}
+
+std::uint32_t Assignment::UncoveredQueues(int pool,
+                                          const PoolNeed& need) const {
+  const AssignedPool& it = pools_[pool];
+  return Uncovered(it, need, it.in_service, Largest(it.racks, -1, 0),
+                   Largest(it.zones, -1, 0));
+}
+
+std::uint32_t Assignment::UncoveredWith(int pool, const PoolNeed& need, int vm,
+                                        int delta) const {
+  const AssignedPool& it = pools_[pool];
+  return Uncovered(it, need, it.in_service + delta,
+                   Largest(it.racks, vms_[vm].rack, delta),
+                   Largest(it.zones, vms_[vm].zone, delta));
+}
+
+std::uint32_t Assignment::TargetSize(int pool, const PoolNeed& need) const {
+  const AssignedPool& it = pools_[pool];
+  const std::uint32_t racks = std::max(1U, rack_count_);
+  const std::uint32_t zones = std::max(1U, zone_count_);
+  std::uint32_t size = std::max(need.peak, it.declaration->min_size);
+  for (;;) {
+    const std::uint32_t rack = (size + racks - 1) / racks;
+    const std::uint32_t zone = (size + zones - 1) / zones;
+    const std::uint32_t lack = Evaluate(it, need, size, rack, zone).joint;
+    if (lack == 0) return size;
+    // A single rack can never be lost without harm; no size covers it.
+    if (racks == 1 || size > need.peak + 2 * (need.base + it.wave + 2))
+      return size;
+    size += 1;
+  }
+}
+
+AssignmentCost Assignment::Cost() const {
+  AssignmentCost cost;
+  for (std::size_t i = 0; i < pools_.size(); ++i) {
+    const int pool = static_cast<int>(i);
+    cost.base_shortage += ShortageOf(pool, pools_[i].need).base;
+    cost.uncovered_queues += UncoveredQueues(pool, pools_[i].need);
+  }
+  return cost;
+}
+
+}  // namespace pomelomill
--- a/libs/planner/src/pool_need.cc
+++ b/libs/planner/src/pool_need.cc
@@ -44,11 +44,11 @@
                  options.trough_factor * std::max(0.0, u - duration));
 }
 
+/// Slots that serve a peak of one queue with at most `misses` requests lost.
 double PeakSlots(const std::vector<PooledQueue>& queues, std::size_t peaking,
-                 const NeedOptions& options) {
+                 double misses, const NeedOptions& options) {
   const PooledQueue& peak = queues[peaking];
-  const double allowed =
-      AllowedMisses(peak, options) * ToSeconds(peak.demand.service_time);
+  const double allowed = misses * ToSeconds(peak.demand.service_time);
   const double duration = ToSeconds(peak.demand.peak_duration);
   // Demand within an interval is piecewise linear, so its rate is highest at
   // an end of the peak shifted by some queue's slack.
@@ -119,12 +119,20 @@
   need.base =
       BaseVms(pool, queues, need.load_slots, rate, need.stable, options);
   for (std::size_t i = 0; i < queues.size(); ++i) {
-    const std::uint32_t peak =
-        std::max(need.base, VmsFor(PeakSlots(queues, i, options), pool.slots));
+    const double once =
+        std::max(0.0, queues[i].demand.budget_left) * options.single_peak_share;
+    const double each = AllowedMisses(queues[i], options);
+    const std::uint32_t peak = std::max(
+        need.base, VmsFor(PeakSlots(queues, i, each, options), pool.slots));
     need.queues.push_back({queues[i].declaration->id, peak});
     need.peak = std::max(need.peak, peak);
+    need.peak_once =
+        std::max(need.peak_once,
+                 VmsFor(PeakSlots(queues, i, std::max(once, each), options),
+                        pool.slots));
   }
   need.peak = std::max(need.peak, need.base);
+  need.peak_once = std::max(need.peak_once, need.base);
   return need;
 }
 
