--- a/libs/platform/include/pomelomill/platform/region_state.h
+++ b/libs/platform/include/pomelomill/platform/region_state.h
@@ -65,12 +65,18 @@
   bool operator==(const WaveState&) const = default;
 };
 
+/// Joining and leaving entries must not use their share, but its weight
+/// counts in the sum: other entries may still act on an earlier region state,
+/// and the shares of all entries together never exceed the whole.
+enum class SharePhase { kActive, kJoining, kLeaving };
+
 /// The share of every endpoint's slots and connections that one entry may
 /// use: `weight` of the sum of all weights.
 struct EntryShare {
   EntryId entry;
   IncarnationId incarnation;
   std::uint32_t weight = 1;
+  SharePhase phase = SharePhase::kActive;
 
   bool operator==(const EntryShare&) const = default;
 };
