--- /dev/null
+++ b/libs/jobs/src/place_ledger.cc
@@ -0,0 +1,104 @@
+#include "pomelomill/jobs/place_ledger.h"
+
+#include <algorithm>
+
+namespace pomelomill {
+
+WorkerIndex PlaceLedger::SetWorker(const WorkerRecord& record) {
+  const auto [it, is_new] =
+      by_id_.try_emplace(record.id, static_cast<WorkerIndex>(workers_.size()));
+  if (is_new) {
+    workers_.emplace_back();
+    workers_.back().id = record.id;
+  }
+  WorkerRoom& room = workers_[it->second];
+  room.rack =
+      racks_.try_emplace(record.rack, static_cast<std::uint32_t>(racks_.size()))
+          .first->second;
+  room.zone =
+      zones_.try_emplace(record.zone, static_cast<std::uint32_t>(zones_.size()))
+          .first->second;
+  room.capacity = record.capacity;
+  return it->second;
+}
+
+WorkerIndex PlaceLedger::Find(const WorkerId& id) const {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? kNoWorker : it->second;
+}
+
+PlaceNumber PlaceLedger::Reserve(WorkerIndex worker, const Resources& size) {
+  last_place_ = last_place_.Next();
+  places_.emplace(last_place_, Place{worker, size, {}});
+  workers_[worker].reserved = workers_[worker].reserved + size;
+  workers_[worker].places.push_back(last_place_);
+  ++reservations_;
+  return last_place_;
+}
+
+bool PlaceLedger::Release(PlaceNumber place) {
+  const auto it = places_.find(place);
+  if (it == places_.end()) return false;
+  WorkerRoom& room = workers_[it->second.worker];
+  room.reserved = room.reserved - it->second.size;
+  room.leaving = room.leaving - it->second.leaving;
+  room.places.erase(std::find(room.places.begin(), room.places.end(), place));
+  // Sums of doubles drift; an empty worker is a chance to correct them.
+  if (room.places.empty()) room.reserved = room.leaving = {};
+  places_.erase(it);
+  ++releases_;
+  return true;
+}
+
+void PlaceLedger::SetLeaving(PlaceNumber place) {
+  const auto it = places_.find(place);
+  if (it == places_.end()) return;
+  WorkerRoom& room = workers_[it->second.worker];
+  room.leaving = room.leaving - it->second.leaving + it->second.size;
+  it->second.leaving = it->second.size;
+}
+
+void PlaceLedger::SetShrinking(PlaceNumber place, double cores) {
+  const auto it = places_.find(place);
+  if (it == places_.end()) return;
+  const Resources part{std::max(0.0, it->second.size.cores - cores), 0, 0};
+  WorkerRoom& room = workers_[it->second.worker];
+  room.leaving = room.leaving - it->second.leaving + part;
+  it->second.leaving = part;
+}
+
+void PlaceLedger::Shrink(PlaceNumber place) {
+  const auto it = places_.find(place);
+  if (it == places_.end()) return;
+  WorkerRoom& room = workers_[it->second.worker];
+  const Resources part{it->second.leaving.cores, 0, 0};
+  room.reserved = room.reserved - part;
+  room.leaving = room.leaving - part;
+  it->second.size = it->second.size - part;
+  it->second.leaving = it->second.leaving - part;
+}
+
+void PlaceLedger::Claim(WorkerIndex worker, const Resources& size) {
+  workers_[worker].claimed = workers_[worker].claimed + size;
+}
+
+void PlaceLedger::Unclaim(WorkerIndex worker, const Resources& size) {
+  workers_[worker].claimed = workers_[worker].claimed - size;
+}
+
+void PlaceLedger::SetExcess(WorkerIndex worker, const Resources& excess) {
+  workers_[worker].excess = excess;
+}
+
+void PlaceLedger::SetListed(WorkerIndex worker, bool is_listed) {
+  workers_[worker].is_listed = is_listed;
+}
+
+Resources PlaceLedger::Capacity() const {
+  Resources sum;
+  for (const WorkerRoom& it : workers_)
+    if (it.is_listed) sum = sum + it.capacity;
+  return sum;
+}
+
+}  // namespace pomelomill
