Add the harness and the checkers of the fault matrix

Cause: every cell of the matrix needs the same surroundings, the same evidence and a check of the properties it touches. Change: tools/faults with World (fakes and faults of the surroundings), cells (once, twice, pairs), a report with the command that repeats a failing cell, and one checker class for each of P1 to P8.

--- a/libs/testing/include/pomelomill/testing/fake_platform.h
+++ b/libs/testing/include/pomelomill/testing/fake_platform.h
@@ -50,6 +50,12 @@
                       std::uint32_t slots = 8);
   FakeEndpoint& endpoint(const VmId& id) { return *vms_.at(id).endpoint; }
   std::vector<VmId> vms() const;
+  const RackId& rack_of(const VmId& id) const {
+    return vms_.at(id).record.rack;
+  }
+  const ZoneId& zone_of(const VmId& id) const {
+    return vms_.at(id).record.zone;
+  }
 
   /// The list shows the state of this long ago.
   void set_list_lag(Duration lag) { list_lag_ = lag; }
@@ -69,6 +75,7 @@
   void LoseZone(const ZoneId& zone);
 
   FakeWorkers& workers() { return workers_; }
+  const FakeWorkers& workers() const { return workers_; }
   CallTransport& transport() { return transport_; }
   const std::vector<PlatformOperation>& operations() const {
     return operations_;
--- a/libs/testing/include/pomelomill/testing/fake_process.h
+++ b/libs/testing/include/pomelomill/testing/fake_process.h
@@ -5,12 +5,21 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/base/virtual_timer_service.h"
 
 namespace pomelomill::testing {
 
+enum class ProcessChange { kCrash, kRestart, kPause, kWake };
+
+/// When a process stopped or began to run code.
+struct ProcessEvent {
+  Instant at;
+  ProcessChange change = ProcessChange::kCrash;
+};
+
 /// One process of a test: a clock of its own over the time of the world, and
 /// everything that runs inside the process. A crash drops all timers and all
 /// callbacks under way; a pause defers them until the process wakes.
@@ -55,6 +64,7 @@
   /// Counts runs, starting with 1.
   std::uint64_t run() const { return run_; }
   VirtualTimerService& world() { return world_; }
+  const std::vector<ProcessEvent>& events() const { return events_; }
 
  private:
   struct Timer {
@@ -79,6 +89,7 @@
   TimerId next_id_ = 1;
   std::map<TimerId, Timer> timers_;
   std::deque<std::function<void()>> deferred_;
+  std::vector<ProcessEvent> events_;
 };
 
 }  // namespace pomelomill::testing
--- a/libs/testing/src/fake_process.cc
+++ b/libs/testing/src/fake_process.cc
@@ -95,6 +95,7 @@
 
 void FakeProcess::Crash() {
   if (!is_running_) return;
+  events_.push_back({world_.Now(), ProcessChange::kCrash});
   is_running_ = false;
   is_paused_ = false;
   for (auto& [id, timer] : timers_) world_.Cancel(timer.world_id);
@@ -104,17 +105,21 @@
 
 void FakeProcess::Restart() {
   if (is_running_) return;
+  events_.push_back({world_.Now(), ProcessChange::kRestart});
   is_running_ = true;
   ++run_;
   if (on_start_) on_start_();
 }
 
 void FakeProcess::Pause() {
-  if (is_running_) is_paused_ = true;
+  if (!is_running_ || is_paused_) return;
+  events_.push_back({world_.Now(), ProcessChange::kPause});
+  is_paused_ = true;
 }
 
 void FakeProcess::Wake() {
   if (!is_paused_) return;
+  events_.push_back({world_.Now(), ProcessChange::kWake});
   is_paused_ = false;
   while (!deferred_.empty() && is_running_ && !is_paused_) {
     auto next = std::move(deferred_.front());
--- /dev/null
+++ b/tools/faults/src/groups.cc
@@ -0,0 +1,10 @@
+#include "groups.h"
+
+namespace pomelomill::faults {
+
+const std::vector<Group>& AllGroups() {
+  static const std::vector<Group> groups;
+  return groups;
+}
+
+}  // namespace pomelomill::faults
--- /dev/null
+++ b/tools/faults/src/world.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "evidence.h"
+#include "pomelomill/base/random.h"
+#include "pomelomill/testing.h"
+
+namespace pomelomill::faults {
+
+/// The surroundings of one cell: the fakes, the processes, and the evidence
+/// that callers and processes leave.
+class World {
+ public:
+  explicit World(std::uint64_t seed);
+
+  /// `is_entry` is false for an operator's command.
+  testing::FakeProcess& AddProcess(const std::string& name,
+                                   bool is_entry = true);
+
+  /// Evidence of the whole run.
+  Evidence Collect() const;
+
+  VirtualTimerService timers;
+  testing::FaultInjector injector;
+  testing::FakeStore store;
+  testing::FakePlatform platform;
+  testing::FakeNetwork network;
+  Random random;
+
+  /// Written by callers and processes; Collect() adds the fakes' records.
+  Evidence evidence;
+  /// Decode one write of the store; set by groups that make such writes.
+  std::function<void(const testing::StoreWrite&, Evidence&)> decode_write;
+  /// Another client writes the contested key.
+  std::function<void()> conflicting_write;
+
+ private:
+  struct Slot {
+    std::unique_ptr<testing::FakeProcess> process;
+    bool is_entry = true;
+  };
+
+  void Break(testing::Fault fault, testing::FakeProcess& process);
+  void Partition(const std::string& process, bool is_out, bool is_in);
+  void LoseOne(testing::Fault fault);
+
+  std::set<std::string> cut_out_;
+  std::set<std::string> cut_in_;
+  std::vector<Slot> processes_;
+};
+
+/// Time from the passage at which a fault begins until it has ended.
+Duration FaultLength(testing::Fault fault,
+                     const testing::FaultDurations& durations);
+
+}  // namespace pomelomill::faults
