Send the demand of each queue between entries

Cause: the control lease holder plans from measured demand, which each entry sees only in part; and two libraries had a type named PoolLoad. Change: QueueLoad in the exchange message, with checks of its rates; the message's pool item is PoolLoadUpdate. Conclusion: the demand of a region can be added up at the holder.

--- a/libs/peer/include/pomelomill/peer/peer_messages.h
+++ b/libs/peer/include/pomelomill/peer/peer_messages.h
@@ -13,15 +13,31 @@
 /// Counts the loans of one lender.
 using LoanId = StrongNumber<struct LoanIdTag>;
 
-/// Load of one pool as one entry sees it.
-struct PoolLoad {
+/// Load of one pool at the sender.
+struct PoolLoadUpdate {
   PoolId pool;
   std::uint32_t queued = 0;
   std::uint32_t in_flight = 0;
   /// Slots of the entry's share that are free.
   std::uint32_t free_slots = 0;
 
-  bool operator==(const PoolLoad&) const = default;
+  bool operator==(const PoolLoadUpdate&) const = default;
+};
+
+/// Demand of one queue at the sender, from which the control lease holder adds
+/// up the demand of the region.
+struct QueueLoad {
+  QueueId queue;
+  /// Requests a second, over minutes and over the last seconds.
+  double mean_rate = 0;
+  double current_rate = 0;
+  /// Time that one request occupies a slot.
+  Duration service_time{};
+  /// Requests in the window of the budget, and those of them that missed.
+  std::uint64_t asked = 0;
+  std::uint64_t missed = 0;
+
+  bool operator==(const QueueLoad&) const = default;
 };
 
 enum class EndpointCondition { kGood, kEjected, kDraining };
@@ -47,12 +63,13 @@
   bool operator==(const SlotLoan&) const = default;
 };
 
-/// One direction of an exchange. `pools`, `endpoints` and `members` are the
-/// changes of the sender's lists after `base` and up to `sequence`; `known`
-/// is the sequence of the receiver's lists that the sender has.
+/// One direction of an exchange. `pools`, `queues`, `endpoints` and `members`
+/// are the changes of the sender's lists after `base` and up to `sequence`;
+/// `known` is the sequence of the receiver's lists that the sender has.
 struct ExchangeMessage {
   MemberReport report;
-  std::vector<PoolLoad> pools;
+  std::vector<PoolLoadUpdate> pools;
+  std::vector<QueueLoad> queues;
   std::vector<EndpointUpdate> endpoints;
   std::vector<MemberInfo> members;
   std::uint64_t base = 0;
--- a/libs/peer/src/wire.cc
+++ b/libs/peer/src/wire.cc
@@ -1,6 +1,7 @@
 #include "wire.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <string>
 
@@ -32,6 +33,10 @@
   return name.size() <= kMaxNameBytes;
 }
 
+/// Rates are added up and divided by; anything but a plain number would
+/// spread from one entry to the plans of the region.
+bool IsRate(double rate) { return std::isfinite(rate) && rate >= 0; }
+
 template <typename List>
 bool IsShort(const List& list) {
   return list.size() <= kMaxListItems;
@@ -133,13 +138,22 @@
 
 void ToWire(const ExchangeMessage& from, peer::ExchangeMessage* to) {
   PutReport(from.report, to->mutable_report());
-  for (const PoolLoad& load : from.pools) {
+  for (const PoolLoadUpdate& load : from.pools) {
     peer::PoolLoad* item = to->add_pools();
     item->set_pool(load.pool.value());
     item->set_queued(load.queued);
     item->set_in_flight(load.in_flight);
     item->set_free_slots(load.free_slots);
   }
+  for (const QueueLoad& load : from.queues) {
+    peer::QueueLoad* item = to->add_queues();
+    item->set_queue(load.queue.value());
+    item->set_mean_rate(load.mean_rate);
+    item->set_current_rate(load.current_rate);
+    item->set_service_time_ms(Millis(load.service_time));
+    item->set_asked(load.asked);
+    item->set_missed(load.missed);
+  }
   for (const EndpointUpdate& update : from.endpoints) {
     peer::EndpointUpdate* item = to->add_endpoints();
     item->set_vm(update.vm.value());
@@ -161,8 +175,9 @@
 }
 
 Result<ExchangeMessage> FromWire(const peer::ExchangeMessage& from) {
-  if (!IsShort(from.pools()) || !IsShort(from.endpoints()) ||
-      !IsShort(from.members()) || !IsShort(from.loans())) {
+  if (!IsShort(from.pools()) || !IsShort(from.queues()) ||
+      !IsShort(from.endpoints()) || !IsShort(from.members()) ||
+      !IsShort(from.loans())) {
     return Bad();
   }
   ExchangeMessage to;
@@ -176,6 +191,18 @@
                         .in_flight = item.in_flight(),
                         .free_slots = item.free_slots()});
   }
+  for (const peer::QueueLoad& item : from.queues()) {
+    if (!IsName(item.queue()) || !IsRate(item.mean_rate()) ||
+        !IsRate(item.current_rate())) {
+      return Bad();
+    }
+    to.queues.push_back({.queue = QueueId(item.queue()),
+                         .mean_rate = item.mean_rate(),
+                         .current_rate = item.current_rate(),
+                         .service_time = FromMillis(item.service_time_ms()),
+                         .asked = item.asked(),
+                         .missed = item.missed()});
+  }
   for (const peer::EndpointUpdate& item : from.endpoints()) {
     if (!IsName(item.vm()) ||
         !peer::EndpointCondition_IsValid(item.condition())) {
--- a/libs/peer/test/peer_test.cc
+++ b/libs/peer/test/peer_test.cc
@@ -66,6 +66,12 @@
                     .queued = 4,
                     .in_flight = 60,
                     .free_slots = 12}};
+  message.queues = {{.queue = QueueId("proofing/proofs"),
+                     .mean_rate = 41.5,
+                     .current_rate = 210,
+                     .service_time = milliseconds(120),
+                     .asked = 90000,
+                     .missed = 17}};
   message.endpoints = {{.vm = VmId("vm-2"),
                         .generation = Generation(3),
                         .condition = EndpointCondition::kEjected}};
