Add the traffic path of one entry

Cause: the router needs a caller side and an endpoint side. Change: libs/traffic with HttpListener (RESTinio), the caller protocol, EndpointClient (libs/http) and TrafficServer, which carries out the router's actions, cancels requests of callers that leave, stops gracefully and has an admin listener.

--- /dev/null
+++ b/libs/traffic/include/pomelomill/traffic.h
@@ -0,0 +1,9 @@
+#pragma once
+
+// Caller side and endpoint side of one entry.
+
+#include "pomelomill/traffic/caller_protocol.h"
+#include "pomelomill/traffic/endpoint_client.h"
+#include "pomelomill/traffic/http_listener.h"
+#include "pomelomill/traffic/traffic_error.h"
+#include "pomelomill/traffic/traffic_server.h"
--- /dev/null
+++ b/libs/traffic/include/pomelomill/traffic/caller_protocol.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "pomelomill/config.h"
+#include "pomelomill/routing.h"
+#include "pomelomill/traffic/http_listener.h"
+
+namespace pomelomill {
+
+/// What the headers and the path of a caller's request ask for (section 9 of
+/// the design page).
+struct CallerRequest {
+  QueueId queue;
+  TeamId team;
+  /// Time from arrival within which the response counts.
+  Duration time_allowed{};
+  /// Idempotency-Key; empty when there is none.
+  std::string key;
+};
+
+/// Longest Idempotency-Key.
+inline constexpr std::size_t kMaxKeyBytes = 128;
+
+/// The request, or the status of the error (400, 404, 405). The caller's
+/// deadline may shorten the one of the queue and never extends it.
+tl::expected<CallerRequest, OutgoingResponse> ParseCallerRequest(
+    const IncomingRequest& request, const Declarations& declarations);
+
+/// Response for an outcome without a response of an endpoint: 429 or 503 with
+/// Retry-After when not run, 404 for an unknown queue, 504 when unknown.
+OutgoingResponse ResponseFor(const Respond& respond);
+
+/// An endpoint's response, to be passed on: without hop-by-hop headers (RFC
+/// 9110, 7.6.1), with Pomelomill-Outcome: answered.
+OutgoingResponse PassedOn(HttpResponse response);
+
+/// Headers of a caller's request that are passed to the endpoint.
+std::vector<HttpHeader> HeadersForEndpoint(const IncomingRequest& request,
+                                           Duration time_left);
+
+/// A response made by the entry itself, with a JSON body {"error": reason}.
+OutgoingResponse ErrorResponse(int status, const std::string& reason);
+
+}  // namespace pomelomill
--- /dev/null
+++ b/libs/traffic/include/pomelomill/traffic/traffic_server.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "pomelomill/base.h"
+#include "pomelomill/routing.h"
+#include "pomelomill/traffic/http_listener.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace pomelomill {
+
+struct TrafficOptions {
+  RouterOptions router;
+  HttpListenerOptions callers;
+  HttpListenerOptions admin;
+  Duration report_interval = std::chrono::milliseconds(250);
+  /// After a graceful stop has begun, new requests are still served for this
+  /// time, until the load balancer has noticed.
+  Duration drain_notice = std::chrono::seconds(2);
+};
+
+struct TrafficHooks {
+  /// Load and in-flight counts, once per report interval, on the traffic
+  /// thread.
+  std::function<void(LoadReport)> on_report;
+  /// Answers the admin listener, on the traffic thread; the response may be
+  /// given later.
+  std::function<void(IncomingRequest, RespondHook)> on_admin;
+};
+
+/// What the data plane reports to operators.
+struct TrafficStatus {
+  RouterCounters counters;
+  std::vector<QueueStatus> queues;
+  LoadReport load;
+  std::size_t open_requests = 0;
+  std::size_t open_connections = 0;
+  bool is_draining = false;
+};
+
+/// The data plane of one entry: accepts callers, asks the router and carries
+/// out its actions. Lives on the thread that runs `context`; only Post() and
+/// Drain() may be called from others.
+class TrafficServer {
+ public:
+  TrafficServer(asio::io_context& context, TimerService& timers,
+                TrafficOptions options, TrafficHooks hooks);
+  /// Breaks off whatever is open; Drain() first for a graceful stop.
+  ~TrafficServer();
+
+  Status Start();
+
+  /// Hands an event of the control thread to the router: a snapshot of
+  /// declarations or of the region state, a permit, a peer's load, a leaving
+  /// endpoint, a loan.
+  void Post(RouterEvent event);
+
+  /// Graceful stop: serves for the notice time, then takes no new requests,
+  /// finishes those in hand and runs `done` once on the traffic thread.
+  void Drain(std::function<void()> done);
+
+  std::uint16_t port() const;
+  std::uint16_t admin_port() const;
+  TrafficStatus status() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace pomelomill
--- /dev/null
+++ b/libs/traffic/test/traffic_server_test.cc
@@ -0,0 +1,229 @@
+#include <doctest/doctest.h>
+
+#include "traffic_fixture.h"
+
+namespace pomelomill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kLayout =
+    "GET /proof/layout/1 HTTP/1.1\r\nHost: x\r\n\r\n";
+constexpr const char* kOrder =
+    "POST /proof/order/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab";
+
+// Guards against a response that is cut or changed on its way, and against
+// internal headers that reach the endpoint or the caller.
+TEST_CASE("the whole response of the endpoint reaches the caller") {
+  TrafficFixture f;
+  f.handler = [](const IncomingRequest&, const RespondHook& respond) {
+    respond({.status = 201,
+             .headers = {{"X-Proof", "7"}, {"Pomelomill-Secret", "1"}},
+             .body = std::string(300000, 'p')});
+  };
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(
+      "POST /proof/layout/1?q=2 HTTP/1.1\r\nHost: x\r\nX-Id: 4\r\n"
+      "Pomelomill-Team: t\r\nContent-Length: 3\r\n\r\nabc");
+  REQUIRE(f.RunUntil([&] { return caller.received().size() > 300000; }));
+  CHECK(caller.received().starts_with("HTTP/1.1 201"));
+  CHECK(caller.has("X-Proof: 7"));
+  CHECK(caller.has("Pomelomill-Outcome: answered"));
+  CHECK(!caller.has("Pomelomill-Secret"));
+  CHECK(caller.received().ends_with(std::string(300000, 'p')));
+  REQUIRE(f.seen.size() == 1);
+  CHECK(f.seen[0].body == "abc");
+  CHECK(f.seen[0].target == "/proof/layout/1?q=2");
+  CHECK(f.seen[0].header("x-id") == "4");
+  CHECK(f.seen[0].header("Pomelomill-Team").empty());
+  CHECK(!f.seen[0].header("Pomelomill-Deadline-Ms").empty());
+}
+
+// Guards against responses that swap places on one connection.
+TEST_CASE("pipelined requests are answered in their order") {
+  TrafficFixture f;
+  std::vector<std::pair<std::string, RespondHook>> held;
+  f.handler = [&](const IncomingRequest& request, const RespondHook& respond) {
+    held.emplace_back(request.target, respond);
+  };
+  RawCaller caller(f.context, f.server->port());
+  for (int i = 0; i < 3; ++i) {
+    caller.Write("GET /proof/layout/" + std::to_string(i) +
+                 " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  REQUIRE(f.RunUntil([&] { return held.size() == 3; }));
+  for (auto it = held.rbegin(); it != held.rend(); ++it) {
+    it->second({.body = "body of " + it->first});
+    f.Run(milliseconds(10));
+  }
+  REQUIRE(f.RunUntil([&] { return caller.responses() == 3; }));
+  const std::string& text = caller.received();
+  CHECK(text.find("/proof/layout/0") < text.find("/proof/layout/1"));
+  CHECK(text.find("/proof/layout/1") < text.find("/proof/layout/2"));
+}
+
+// Guards against a refusal that is reported as an answer, and against a
+// second sending of an order.
+TEST_CASE("a refused order is reported as not run and sent once") {
+  TrafficFixture f;
+  f.handler = [](const IncomingRequest&, const RespondHook& respond) {
+    respond({.status = 503, .headers = {{"Pomelomill-Not-Processed", "1"}}});
+  };
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(kOrder);
+  REQUIRE(f.RunUntil([&] { return caller.responses() == 1; }));
+  CHECK(caller.received().starts_with("HTTP/1.1 503"));
+  CHECK(caller.has("Pomelomill-Outcome: not-run"));
+  CHECK(caller.has("Retry-After: 1"));
+  f.Run(milliseconds(100));
+  int orders = 0;
+  for (const IncomingRequest& it : f.seen) orders += it.method == "POST";
+  CHECK(orders == 1);
+}
+
+// Guards against passing on another 503 as "not run": only the header proves
+// that nothing was processed.
+TEST_CASE("an endpoint's own 503 is passed on as its answer") {
+  TrafficFixture f;
+  f.handler = [](const IncomingRequest&, const RespondHook& respond) {
+    respond({.status = 503, .body = "mine"});
+  };
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(kOrder);
+  REQUIRE(f.RunUntil([&] { return caller.has("mine"); }));
+  CHECK(caller.has("Pomelomill-Outcome: answered"));
+}
+
+/// Endpoint that reads one request, sends some bytes and closes.
+class CuttingEndpoint {
+ public:
+  CuttingEndpoint(asio::io_context& context, std::string text)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        text_(std::move(text)) {
+    Accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int requests = 0;
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](std::error_code ec,
+                                  asio::ip::tcp::socket socket) {
+      if (ec) return;
+      auto session = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+      session->async_read_some(
+          asio::buffer(buf_),
+          [this, session](std::error_code failure, std::size_t) {
+            if (failure) return;
+            ++requests;
+            std::error_code ignored;
+            asio::write(*session, asio::buffer(text_), ignored);
+            session->close(ignored);
+          });
+      Accept();
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::array<char, 65536> buf_{};
+  std::string text_;
+};
+
+// Guards against a truncated response that is passed on as complete, a false
+// "not run", and a repeated order.
+TEST_CASE("an order whose response is cut has an unknown outcome") {
+  for (const char* text :
+       {"", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\n\r\nno end marked"}) {
+    CAPTURE(text);
+    TrafficFixture f;
+    CuttingEndpoint endpoint(f.context, text);
+    f.SetAddress(endpoint.address());
+    RawCaller caller(f.context, f.server->port());
+    caller.Write(kOrder);
+    REQUIRE(f.RunUntil([&] { return caller.responses() == 1; }));
+    CHECK(caller.received().starts_with("HTTP/1.1 504"));
+    CHECK(caller.has("Pomelomill-Outcome: unknown"));
+    f.Run(milliseconds(100));
+    CHECK(endpoint.requests == 1);
+  }
+}
+
+// Guards against a false "unknown" when nothing can have been sent.
+TEST_CASE("an order to a closed port is reported as not run") {
+  TrafficFixture f;
+  f.SetAddress("127.0.0.1:1");
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(kOrder);
+  REQUIRE(f.RunUntil([&] { return caller.responses() == 1; }));
+  CHECK(caller.has("Pomelomill-Outcome: not-run"));
+  CHECK(caller.has("Retry-After: "));
+}
+
+// Guards against a slot that is freed before the endpoint has finished, or
+// never.
+TEST_CASE("a caller that leaves keeps its slot until the endpoint has ended") {
+  TrafficFixture f;
+  std::vector<RespondHook> held;
+  f.handler = [&](const IncomingRequest&, const RespondHook& respond) {
+    held.push_back(respond);
+  };
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(kOrder);
+  REQUIRE(f.RunUntil([&] { return held.size() == 1; }));
+  caller.Close();
+  REQUIRE(f.RunUntil([&] { return f.server->status().open_requests == 0; }));
+  CHECK(f.server->status().load.in_flight[VmId("vm-0")] == 1);
+  held[0]({.body = "late"});
+  CHECK(f.RunUntil([&] {
+    return f.server->status().load.in_flight.count(VmId("vm-0")) == 0;
+  }));
+  CHECK(f.server->status().counters.dropped == 1);
+}
+
+// Guards against a planned stop that cuts a request in flight.
+TEST_CASE("a graceful stop finishes what is in hand") {
+  TrafficFixture f;
+  std::vector<RespondHook> held;
+  f.handler = [&](const IncomingRequest&, const RespondHook& respond) {
+    held.push_back(respond);
+  };
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(kOrder);
+  REQUIRE(f.RunUntil([&] { return held.size() == 1; }));
+  bool is_done = false;
+  const std::uint16_t port = f.server->port();
+  f.server->Drain([&] { is_done = true; });
+  f.Run(milliseconds(200));
+  CHECK(f.server->status().is_draining);
+  CHECK(!is_done);
+  CHECK_THROWS(RawCaller(f.context, port));
+  held[0]({.body = "whole"});
+  CHECK(f.RunUntil([&] { return is_done; }));
+  CHECK(f.RunUntil([&] { return caller.has("whole"); }));
+}
+
+// Guards against an admin request that is taken for a caller's.
+TEST_CASE("the admin listener answers by the application's function") {
+  TrafficFixture f;
+  RawCaller caller(f.context, f.server->admin_port());
+  caller.Write("GET /-/status HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(f.RunUntil([&] { return caller.has("admin /-/status"); }));
+  CHECK(f.seen.empty());
+}
+
+// Guards against an entry that never tells the control thread about its load.
+TEST_CASE("load is reported by the hook") {
+  TrafficFixture f;
+  CHECK(f.RunUntil([&] { return f.report.pools.contains(PoolId("main")); }));
+  CHECK(f.report.pools.at(PoolId("main")).free_slots == 8);
+  CHECK(f.report.table_version == f.version);
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(kLayout);
+  CHECK(f.RunUntil([&] { return caller.has("echo"); }));
+}
+
+}  // namespace
+}  // namespace pomelomill
