--- a/libs/testing/include/pomelomill/testing/fake_endpoint.h
+++ b/libs/testing/include/pomelomill/testing/fake_endpoint.h
@@ -76,6 +76,9 @@
 /// Body of the complete response to a request.
 std::string EndpointBody(const std::string& request_id);
 
+/// Body of a 5xx response of the endpoint itself.
+std::string EndpointErrorBody(const std::string& request_id);
+
 /// One runner. Errors of Send(): connection_refused when no byte was sent,
 /// connection_reset when the connection ended without a response, timed_out.
 class FakeEndpoint {
@@ -118,7 +121,7 @@
   };
 
   void Receive(const std::string& sender, const EndpointRequest& request,
-               const Respond& respond);
+               EndpointMisbehaviour how, const Respond& respond);
   void Finish(std::size_t run, EndpointMisbehaviour how);
 
   VmId vm_;
--- a/libs/testing/include/pomelomill/testing/fault.h
+++ b/libs/testing/include/pomelomill/testing/fault.h
@@ -39,6 +39,13 @@
   kVmLost,
   kRackLost,
   kZoneLost,
+  // On the response of an endpoint.
+  kEndpointRefuses,
+  kEndpointFails,
+  kEndpointClosesEarly,
+  kEndpointClosesLate,
+  kEndpointTruncates,
+  kEndpointAnswersLate,
 };
 
 /// Name for the command line and for reports, such as "lose-response".
--- a/libs/testing/src/fake_endpoint.cc
+++ b/libs/testing/src/fake_endpoint.cc
@@ -14,12 +14,35 @@
   return Unexpected(std::make_error_code(e));
 }
 
+EndpointMisbehaviour MisbehaviourOf(Fault fault) {
+  switch (fault) {
+    case Fault::kEndpointRefuses:
+      return EndpointMisbehaviour::kRefuse;
+    case Fault::kEndpointFails:
+      return EndpointMisbehaviour::kFail;
+    case Fault::kEndpointClosesEarly:
+      return EndpointMisbehaviour::kCloseBeforeRunning;
+    case Fault::kEndpointClosesLate:
+      return EndpointMisbehaviour::kCloseBeforeResponse;
+    case Fault::kEndpointTruncates:
+      return EndpointMisbehaviour::kTruncate;
+    case Fault::kEndpointAnswersLate:
+      return EndpointMisbehaviour::kAnswerLate;
+    default:
+      return EndpointMisbehaviour::kNone;
+  }
+}
+
 }  // namespace
 
 std::string EndpointBody(const std::string& request_id) {
   return "result of " + request_id;
 }
 
+std::string EndpointErrorBody(const std::string& request_id) {
+  return "error of " + request_id;
+}
+
 FakeEndpoint::FakeEndpoint(VmId vm, VirtualTimerService& world,
                            FaultInjector* injector, std::uint32_t slots)
     : vm_(std::move(vm)),
@@ -32,8 +55,9 @@
                         Respond callback) {
   transport_.Carry<EndpointResponse>(
       sender, step, timeout, std::make_error_code(std::errc::timed_out),
-      [this, name = sender.name(), request](Fault, const Respond& respond) {
-        Receive(name, request, respond);
+      [this, name = sender.name(), request](Fault fault,
+                                            const Respond& respond) {
+        Receive(name, request, MisbehaviourOf(fault), respond);
       },
       std::move(callback));
 }
@@ -62,12 +86,11 @@
 
 void FakeEndpoint::Receive(const std::string& sender,
                            const EndpointRequest& request,
-                           const Respond& respond) {
+                           EndpointMisbehaviour how, const Respond& respond) {
   if (!is_up_) {
     respond(Broken(std::errc::connection_refused));
     return;
   }
-  EndpointMisbehaviour how = EndpointMisbehaviour::kNone;
   if (misbehaviours_left_ > 0) {
     --misbehaviours_left_;
     how = misbehaviour_;
@@ -99,7 +122,8 @@
   const std::string body = EndpointBody(record.request.id);
   switch (how) {
     case EndpointMisbehaviour::kFail:
-      respond(EndpointResponse{EndpointOutcome::kFailed, "internal error"});
+      respond(EndpointResponse{EndpointOutcome::kFailed,
+                               EndpointErrorBody(record.request.id)});
       return;
     case EndpointMisbehaviour::kCloseBeforeResponse:
       respond(Broken(std::errc::connection_reset));
--- a/libs/testing/src/fault.cc
+++ b/libs/testing/src/fault.cc
@@ -6,7 +6,7 @@
 namespace pomelomill::testing {
 namespace {
 
-constexpr std::array<std::pair<Fault, std::string_view>, 28> kNames{{
+constexpr std::array<std::pair<Fault, std::string_view>, 34> kNames{{
     {Fault::kNone, "none"},
     {Fault::kLoseRequest, "lose-request"},
     {Fault::kLoseResponse, "lose-response"},
@@ -35,6 +35,12 @@
     {Fault::kVmLost, "vm-lost"},
     {Fault::kRackLost, "rack-lost"},
     {Fault::kZoneLost, "zone-lost"},
+    {Fault::kEndpointRefuses, "endpoint-refuses"},
+    {Fault::kEndpointFails, "endpoint-fails"},
+    {Fault::kEndpointClosesEarly, "endpoint-closes-early"},
+    {Fault::kEndpointClosesLate, "endpoint-closes-late"},
+    {Fault::kEndpointTruncates, "endpoint-truncates"},
+    {Fault::kEndpointAnswersLate, "endpoint-answers-late"},
 }};
 
 }  // namespace
--- a/tools/faults/src/evidence.h
+++ b/tools/faults/src/evidence.h
@@ -22,6 +22,8 @@
   /// Entry that accepted it.
   std::string entry;
   bool is_repeatable = true;
+  /// The caller gave up by itself; the request does not count for P1.
+  bool is_cancelled = false;
   Instant sent;
   Duration deadline = std::chrono::seconds(2);
   /// Absent while no response came, as when the entry crashed.
--- a/tools/faults/src/groups.cc
+++ b/tools/faults/src/groups.cc
@@ -3,7 +3,7 @@
 namespace pomelomill::faults {
 
 const std::vector<Group>& AllGroups() {
-  static const std::vector<Group> groups;
+  static const std::vector<Group> groups{DispatchGroup()};
   return groups;
 }
 
--- a/tools/faults/src/matrix.cc
+++ b/tools/faults/src/matrix.cc
@@ -11,10 +11,34 @@
 using testing::ArmedFault;
 using testing::Fault;
 
+/// Faults that need no message at the step.
+bool IsOfProcess(Fault fault) {
+  switch (fault) {
+    case Fault::kCrashBefore:
+    case Fault::kCrashAfter:
+    case Fault::kPauseBefore:
+    case Fault::kPauseAfter:
+    case Fault::kClockJump:
+    case Fault::kClockFast:
+    case Fault::kClockSlow:
+      return true;
+    default:
+      return false;
+  }
+}
+
 bool AppliesToKind(StepKind kind, Fault fault) {
+  if (kind == StepKind::kLocal && !IsOfProcess(fault)) return false;
   switch (fault) {
     case Fault::kNone:
       return false;
+    case Fault::kEndpointRefuses:
+    case Fault::kEndpointFails:
+    case Fault::kEndpointClosesEarly:
+    case Fault::kEndpointClosesLate:
+    case Fault::kEndpointTruncates:
+    case Fault::kEndpointAnswersLate:
+      return kind == StepKind::kEndpointCall;
     case Fault::kStaleRead:
       return kind == StepKind::kStoreRead;
     case Fault::kSlowWatch:
@@ -42,6 +66,17 @@
          fault == Fault::kZoneLost;
 }
 
+bool NeedsStore(Fault fault) {
+  return fault == Fault::kStoreDown || fault == Fault::kStoreUnreachable ||
+         fault == Fault::kStoreSlow;
+}
+
+/// A partition cuts a process off from its peers, the store and the platform.
+bool NeedsPeers(Fault fault) {
+  return fault == Fault::kPartitionOut || fault == Fault::kPartitionIn ||
+         fault == Fault::kPartitionBoth;
+}
+
 struct Candidate {
   const Step* step = nullptr;
   Fault fault = Fault::kNone;
@@ -70,6 +105,8 @@
   for (Fault it : testing::AllFaults()) {
     if (!AppliesToKind(step.kind, it)) continue;
     if (NeedsVms(it) && !group.has_vms) continue;
+    if (NeedsStore(it) && !group.has_store) continue;
+    if (NeedsPeers(it) && !group.has_store && !group.has_peers) continue;
     faults.push_back(it);
   }
   return faults;
--- a/tools/faults/src/matrix.h
+++ b/tools/faults/src/matrix.h
@@ -23,6 +23,8 @@
   kPlatformWrite,
   kEndpointCall,
   kWorkerCall,
+  /// Inside one process; only the process itself can fail here.
+  kLocal,
 };
 
 /// One named step of a group.
@@ -40,6 +42,7 @@
   std::vector<std::string> properties;
   /// Virtual time after which the evidence is collected.
   Duration length{};
+  bool has_store = true;
   bool has_peers = false;
   bool has_vms = false;
   /// Builds the scenario; the result is kept alive until the cell ends.
--- a/tools/faults/src/request_checkers.cc
+++ b/tools/faults/src/request_checkers.cc
@@ -46,13 +46,14 @@
   };
   std::map<QueueId, Count> counts;
   for (const CallerRequest& it : evidence.requests) {
-    if (it.sent + it.deadline > evidence.end) continue;
+    if (it.is_cancelled || it.sent + it.deadline > evidence.end) continue;
     // No system saves a request whose entry or VM has gone.
     if (WasAway(evidence, it.entry, it.sent, it.sent + it.deadline)) continue;
     if (lost.contains(it.id)) continue;
     Count& count = counts[it.queue];
     ++count.all;
     count.good += it.outcome == CallerOutcome::kAnswered &&
+                  it.body == testing::EndpointBody(it.id) &&
                   it.answered <= it.sent + it.deadline;
   }
   Violations found;
@@ -77,8 +78,10 @@
       found.push_back(
           Text("request ", it.id, " got ", it.responses, " responses"));
     }
+    // A complete 5xx of the endpoint is a response of its own.
     if (it.outcome == CallerOutcome::kAnswered &&
-        it.body != testing::EndpointBody(it.id)) {
+        it.body != testing::EndpointBody(it.id) &&
+        it.body != testing::EndpointErrorBody(it.id)) {
       found.push_back(
           Text("request ", it.id, " was answered with \"", it.body, "\""));
     }
--- a/tools/faults/src/world.cc
+++ b/tools/faults/src/world.cc
@@ -142,7 +142,7 @@
 void World::LoseOne(Fault fault) {
   const auto vms = platform.vms();
   if (vms.empty()) return;
-  const VmId vm = vms[random.Below(vms.size())];
+  const VmId& vm = vms[random.Below(vms.size())];
   if (fault == Fault::kVmLost) platform.LoseVm(vm);
   if (fault == Fault::kRackLost) platform.LoseRack(platform.rack_of(vm));
   if (fault == Fault::kZoneLost) platform.LoseZone(platform.zone_of(vm));
