Add keys for requests that run at most once

Cause: a caller that repeats an order must not cause a second one. Change: KeyIssuer (keys with incarnation and counter, bounded outcome table) and KeyClaims (claims/KEY through the StoreClient hooks, a write of unknown outcome resolved by reading back, refused while the store is unavailable). Entries that are joining or leaving have no slots, as the region state says.

--- a/libs/routing/include/pomelomill/routing.h
+++ b/libs/routing/include/pomelomill/routing.h
@@ -12,6 +12,8 @@
 #include "pomelomill/routing/endpoint_set.h"
 #include "pomelomill/routing/endpoint_stats.h"
 #include "pomelomill/routing/events.h"
+#include "pomelomill/routing/key_claims.h"
+#include "pomelomill/routing/key_issuer.h"
 #include "pomelomill/routing/latency_estimate.h"
 #include "pomelomill/routing/retry_budget.h"
 #include "pomelomill/routing/router.h"
--- /dev/null
+++ b/libs/routing/src/key_claims.cc
@@ -0,0 +1,249 @@
+#include "pomelomill/routing/key_claims.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace pomelomill {
+namespace {
+
+// Writes of one claim before it is given up as unavailable.
+constexpr int kMaxWrites = 2;
+
+struct ClaimValue {
+  std::string writer;
+  std::uint64_t sequence = 0;
+  std::optional<KeyOutcome> outcome;
+};
+
+const char* NameOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string EncodeClaim(const ClaimValue& value) {
+  nlohmann::json json = {{"writer", value.writer},
+                         {"sequence", value.sequence}};
+  if (value.outcome) {
+    json["outcome"] = NameOf(value.outcome->outcome);
+    json["status"] = value.outcome->status;
+  }
+  return json.dump();
+}
+
+ClaimValue DecodeClaim(const std::string& text) {
+  ClaimValue value;
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object()) return value;
+  const auto writer = json.find("writer");
+  const auto sequence = json.find("sequence");
+  if (writer == json.end() || !writer->is_string() || sequence == json.end() ||
+      !sequence->is_number_unsigned()) {
+    return value;
+  }
+  value.writer = writer->get<std::string>();
+  value.sequence = sequence->get<std::uint64_t>();
+  const auto outcome = json.find("outcome");
+  const auto status = json.find("status");
+  if (outcome != json.end() && outcome->is_string() && status != json.end() &&
+      status->is_number_integer()) {
+    const auto name = outcome->get<std::string>();
+    value.outcome =
+        KeyOutcome{name == "answered" ? Outcome::kAnswered : Outcome::kUnknown,
+                   status->get<int>()};
+  }
+  return value;
+}
+
+}  // namespace
+
+class KeyClaims::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  using Callback = std::function<void(ClaimResult)>;
+
+  Impl(StoreClient& store, TimerService& timers, KeyClaimsOptions options)
+      : store_(store), timers_(timers), options_(std::move(options)) {}
+
+  void Claim(const std::string& key, Callback callback) {
+    if (claims_.contains(key)) {
+      return callback({.state = ClaimState::kTaken, .outcome = {}});
+    }
+    if (pending_ >= options_.max_pending) {
+      return callback({.state = ClaimState::kUnavailable, .outcome = {}});
+    }
+    ++pending_;
+    Entry& entry = claims_[key];
+    entry.sequence = ++sequence_;
+    entry.callback = std::move(callback);
+    if (HasLease()) return Write(key);
+    waiting_for_lease_.push_back(key);
+    RequestLease();
+  }
+
+  void Finish(const std::string& key, KeyOutcome outcome) {
+    const auto found = claims_.find(key);
+    if (found == claims_.end() || found->second.callback) return;
+    const Entry entry = found->second;
+    claims_.erase(found);
+    const auto ignore = [](const Result<Version>&) {};
+    if (outcome.outcome == Outcome::kNotRun) {
+      store_.erase(PathOf(key), entry.version, options_.call_timeout, ignore);
+      return;
+    }
+    store_.put(
+        PathOf(key),
+        EncodeClaim({options_.incarnation.value(), entry.sequence, outcome}),
+        entry.version, entry.lease, options_.call_timeout, ignore);
+  }
+
+  std::size_t open_claims() const { return claims_.size(); }
+  void Stop() { is_stopped_ = true; }
+
+ private:
+  struct Entry {
+    std::uint64_t sequence = 0;
+    int writes = 0;
+    Version version;
+    LeaseId lease;
+    /// Set until the claim has its result.
+    Callback callback;
+  };
+
+  static std::string PathOf(const std::string& key) { return "claims/" + key; }
+
+  /// A claim is attached to a lease that has at least half of its time left.
+  bool HasLease() const {
+    return !lease_.empty() && timers_.Now() < lease_used_until_;
+  }
+
+  void RequestLease() {
+    if (is_requesting_lease_) return;
+    is_requesting_lease_ = true;
+    const Instant asked_at = timers_.Now();
+    store_.grant_lease(
+        options_.lease, options_.call_timeout,
+        [self = shared_from_this(), asked_at](const Result<LeaseId>& lease) {
+          self->OnLease(asked_at, lease);
+        });
+  }
+
+  void OnLease(Instant asked_at, const Result<LeaseId>& lease) {
+    if (is_stopped_) return;
+    is_requesting_lease_ = false;
+    if (lease) {
+      lease_ = *lease;
+      lease_used_until_ = asked_at + options_.lease / 2;
+    }
+    for (const std::string& key : std::exchange(waiting_for_lease_, {})) {
+      if (lease) {
+        Write(key);
+      } else {
+        Resolve(key, {.state = ClaimState::kUnavailable, .outcome = {}});
+      }
+    }
+  }
+
+  void Write(const std::string& key) {
+    Entry& entry = claims_.at(key);
+    ++entry.writes;
+    entry.lease = lease_;
+    store_.put(
+        PathOf(key),
+        EncodeClaim({options_.incarnation.value(), entry.sequence, {}}),
+        Version(), lease_, options_.call_timeout,
+        [self = shared_from_this(), key](const Result<Version>& version) {
+          if (!self->is_stopped_) self->OnWritten(key, version);
+        });
+  }
+
+  void OnWritten(const std::string& key, const Result<Version>& version) {
+    if (version) {
+      claims_.at(key).version = *version;
+      return Resolve(key, {.state = ClaimState::kMayRun, .outcome = {}});
+    }
+    // A conflict may be caused by an earlier write of this entry whose
+    // response was lost; only the value tells.
+    if (version.error() == StoreError::kConflict ||
+        version.error() == StoreError::kOutcomeUnknown) {
+      return ReadBack(key);
+    }
+    if (version.error() == StoreError::kLeaseLapsed) lease_ = LeaseId();
+    // An earlier write of unknown outcome may still take effect; the request
+    // is not sent in either case.
+    Resolve(key, {.state = ClaimState::kUnavailable, .outcome = {}});
+  }
+
+  void ReadBack(const std::string& key) {
+    store_.get(PathOf(key), options_.call_timeout,
+               [self = shared_from_this(), key](const Result<StoreItem>& item) {
+                 if (!self->is_stopped_) self->OnReadBack(key, item);
+               });
+  }
+
+  void OnReadBack(const std::string& key, const Result<StoreItem>& item) {
+    Entry& entry = claims_.at(key);
+    if (item) {
+      const ClaimValue value = DecodeClaim(item->value);
+      if (value.writer == options_.incarnation.value() &&
+          value.sequence == entry.sequence) {
+        entry.version = item->version;
+        return Resolve(key, {.state = ClaimState::kMayRun, .outcome = {}});
+      }
+      return Resolve(key,
+                     {.state = ClaimState::kTaken, .outcome = value.outcome});
+    }
+    if (item.error() == StoreError::kNotFound && entry.writes < kMaxWrites) {
+      return Write(key);
+    }
+    Resolve(key, {.state = ClaimState::kUnavailable, .outcome = {}});
+  }
+
+  void Resolve(const std::string& key, const ClaimResult& result) {
+    --pending_;
+    const auto found = claims_.find(key);
+    const Callback callback = std::move(found->second.callback);
+    found->second.callback = nullptr;
+    if (result.state != ClaimState::kMayRun) claims_.erase(found);
+    callback(result);
+  }
+
+  StoreClient& store_;
+  TimerService& timers_;
+  KeyClaimsOptions options_;
+  std::map<std::string, Entry> claims_;
+  std::vector<std::string> waiting_for_lease_;
+  std::size_t pending_ = 0;
+  std::uint64_t sequence_ = 0;
+  LeaseId lease_;
+  Instant lease_used_until_{};
+  bool is_requesting_lease_ = false;
+  bool is_stopped_ = false;
+};
+
+KeyClaims::KeyClaims(StoreClient& store, TimerService& timers,
+                     KeyClaimsOptions options)
+    : impl_(std::make_shared<Impl>(store, timers, std::move(options))) {}
+
+KeyClaims::~KeyClaims() { impl_->Stop(); }
+
+void KeyClaims::Claim(const std::string& key,
+                      std::function<void(ClaimResult)> callback) {
+  impl_->Claim(key, std::move(callback));
+}
+
+void KeyClaims::Finish(const std::string& key, KeyOutcome outcome) {
+  impl_->Finish(key, outcome);
+}
+
+std::size_t KeyClaims::open_claims() const { return impl_->open_claims(); }
+
+}  // namespace pomelomill
--- a/libs/routing/src/router_tables.cc
+++ b/libs/routing/src/router_tables.cc
@@ -104,7 +104,9 @@
   std::uint64_t own = 0;
   for (const EntryShare& share : shares_) {
     sum += share.weight;
-    if (share.entry == options_.entry) own = share.weight;
+    if (share.entry == options_.entry && share.phase == SharePhase::kActive) {
+      own = share.weight;
+    }
   }
   return sum == 0 ? 1.0 : static_cast<double>(own) / static_cast<double>(sum);
 }
--- /dev/null
+++ b/libs/routing/test/key_test.cc
@@ -0,0 +1,244 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pomelomill/routing.h"
+#include "pomelomill/testing/fake_process.h"
+#include "pomelomill/testing/fake_store.h"
+
+namespace pomelomill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::FakeProcess;
+using testing::FakeStore;
+
+Instant At(std::int64_t ms) { return Instant(milliseconds(ms)); }
+
+constexpr KeyOutcome kDone{.outcome = Outcome::kAnswered, .status = 201};
+constexpr KeyOutcome kNotRun{.outcome = Outcome::kNotRun, .status = 503};
+
+// Guards against a key that runs twice and against a request that could never
+// run because an attempt was refused before.
+TEST_CASE("an issued key runs once and keeps its outcome") {
+  KeyIssuer issuer(IncarnationId("a.1"));
+  const std::string key = issuer.Issue(1).at(0);
+  CHECK(KeyIssuer::IncarnationOf(key) == IncarnationId("a.1"));
+  CHECK(issuer.Begin(key, At(0)).state == KeyState::kMayRun);
+  CHECK(issuer.Begin(key, At(0)).state == KeyState::kRunning);
+  issuer.Finish(key, kNotRun, At(1));
+  CHECK(issuer.Begin(key, At(2)).state == KeyState::kMayRun);
+  issuer.Finish(key, kDone, At(3));
+  issuer.Finish(key, kNotRun, At(4));
+  CHECK(issuer.Begin(key, At(5)).state == KeyState::kDone);
+  CHECK(issuer.Begin(key, At(5)).outcome == kDone);
+}
+
+// Guards against running keys of another run of the process, keys that were
+// never issued, and a second spelling of an issued key.
+TEST_CASE("foreign and invented keys never run") {
+  KeyIssuer issuer(IncarnationId("a1"));
+  KeyIssuer other(IncarnationId("a2"));
+  const std::string key = issuer.Issue(5).back();
+  CHECK(issuer.Begin(other.Issue(1)[0], At(0)).state == KeyState::kForeign);
+  for (const char* it :
+       {"", "pomelomill.", "pomelomill.a1.", "pomelomill.a1.6",
+        "pomelomill.a1.0", "pomelomill.a1.05", "pomelomill.a1.+5",
+        "pomelomill.a1.5 ", "pomelomill.a1.-1", "pomelomill..5", "a1.5",
+        "pomelomill.a1.99999999999999999999"}) {
+    CAPTURE(it);
+    CHECK(issuer.Begin(it, At(0)).state == KeyState::kForeign);
+  }
+  CHECK(issuer.Begin(key, At(0)).state == KeyState::kMayRun);
+  CHECK(!KeyIssuer::IncarnationOf("order-17").has_value());
+}
+
+// Guards against memory that grows with the number of keys, and against a key
+// that runs again once its outcome has been forgotten.
+TEST_CASE("the issuer remembers a bounded number and never runs a key twice") {
+  CHECK(rc::check(
+      [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps) {
+        KeyIssuer issuer(IncarnationId("a1"),
+                         {.max_records = 6, .lifetime = seconds(2)});
+        const std::vector<std::string> keys = issuer.Issue(24);
+        std::set<std::string> running;
+        std::set<std::string> ran;
+        std::int64_t ms = 0;
+        for (const auto& [what, which] : steps) {
+          ms += what;
+          const std::string& key = keys[which % keys.size()];
+          if (what % 3 != 0) {
+            const KeyDecision decision = issuer.Begin(key, At(ms));
+            if (decision.state == KeyState::kMayRun) {
+              RC_ASSERT(!ran.contains(key));
+              RC_ASSERT(running.insert(key).second);
+            }
+            if (running.contains(key) && decision.state != KeyState::kMayRun) {
+              RC_ASSERT(decision.state == KeyState::kRunning);
+            }
+          } else if (running.erase(key) > 0) {
+            const bool has_run = which % 2 == 0;
+            if (has_run) ran.insert(key);
+            issuer.Finish(key, has_run ? kDone : kNotRun, At(ms));
+          }
+          RC_ASSERT(issuer.records() <= 6);
+        }
+      }));
+}
+
+/// One entry with its claims on a shared store.
+struct ClaimingEntry {
+  ClaimingEntry(const std::string& name, VirtualTimerService& world,
+                FakeStore& store)
+      : process(name, world), client(store.ClientFor(process)) {
+    claims = std::make_unique<KeyClaims>(
+        client, process, KeyClaimsOptions{.incarnation = IncarnationId(name)});
+  }
+
+  std::optional<ClaimResult> Claim(VirtualTimerService& world,
+                                   const std::string& key) {
+    auto result = std::make_shared<std::optional<ClaimResult>>();
+    claims->Claim(key, [result](ClaimResult it) { *result = it; });
+    world.Advance(seconds(5));
+    return *result;
+  }
+
+  FakeProcess process;
+  StoreClient client;
+  std::unique_ptr<KeyClaims> claims;
+};
+
+// Guards against two entries that run the same key, and against a duplicate
+// that does not learn the outcome of the first.
+TEST_CASE("a claimed key runs at one entry and tells its outcome") {
+  VirtualTimerService world;
+  FakeStore store(world);
+  ClaimingEntry a("a1", world, store);
+  ClaimingEntry b("b1", world, store);
+  CHECK(a.Claim(world, "k")->state == ClaimState::kMayRun);
+  CHECK(b.Claim(world, "k")->state == ClaimState::kTaken);
+  CHECK(!b.Claim(world, "k")->outcome.has_value());
+  a.claims->Finish("k", kDone);
+  world.Advance(seconds(1));
+  CHECK(b.Claim(world, "k")->outcome == kDone);
+  CHECK(a.claims->open_claims() == 0);
+  const auto leases = store.leases();
+  REQUIRE(!leases.empty());
+  CHECK(leases.begin()->second.ttl >= std::chrono::hours(1));
+}
+
+// Guards against a key that stays blocked by a request that was not run.
+TEST_CASE("a request that was not run releases its key") {
+  VirtualTimerService world;
+  FakeStore store(world);
+  ClaimingEntry a("a1", world, store);
+  ClaimingEntry b("b1", world, store);
+  CHECK(a.Claim(world, "k")->state == ClaimState::kMayRun);
+  a.claims->Finish("k", kNotRun);
+  world.Advance(seconds(1));
+  CHECK(b.Claim(world, "k")->state == ClaimState::kMayRun);
+}
+
+// Guards against running a request whose claim cannot be made.
+TEST_CASE("claims are refused while the store is unavailable") {
+  VirtualTimerService world;
+  FakeStore store(world);
+  ClaimingEntry a("a1", world, store);
+  store.set_down(true);
+  CHECK(a.Claim(world, "k")->state == ClaimState::kUnavailable);
+  store.set_down(false);
+  CHECK(a.Claim(world, "k")->state == ClaimState::kMayRun);
+  store.set_unreachable(true);
+  CHECK(a.Claim(world, "other")->state == ClaimState::kUnavailable);
+}
+
+// Guards against a claim that is taken for another's because the response to
+// its write was lost.
+TEST_CASE("a claim whose response was lost is found by reading back") {
+  VirtualTimerService world;
+  FakeStore store(world);
+  ClaimingEntry a("a1", world, store);
+  CHECK(a.Claim(world, "first")->state == ClaimState::kMayRun);
+  bool drops = true;
+  store.transport().drops_response = [&](const FakeProcess&) {
+    return std::exchange(drops, false);
+  };
+  CHECK(a.Claim(world, "k")->state == ClaimState::kMayRun);
+  CHECK(store.WritesOf("claims/k").size() == 1);
+}
+
+// Guards against two runs of one key under any mix of lost messages, outages,
+// stale reads, latency and requests that were not run.
+TEST_CASE("a claimed key never runs twice under faults of the store") {
+  CHECK(rc::check(
+      [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps,
+         std::uint64_t seed) {
+        VirtualTimerService world;
+        FakeStore store(world);
+        Random random(seed);
+        double loss = 0;
+        store.transport().drops_response = [&](const FakeProcess&) {
+          return random.Chance(loss);
+        };
+        store.transport().drops_request = [&](const FakeProcess&) {
+          return random.Chance(loss);
+        };
+        std::vector<std::unique_ptr<ClaimingEntry>> entries;
+        for (const char* name : {"a1", "b1", "c1"}) {
+          entries.push_back(
+              std::make_unique<ClaimingEntry>(name, world, store));
+        }
+        // Entry that runs the key now, and whether the key has run.
+        std::map<std::string, int> running;
+        std::set<std::string> ran;
+        for (const auto& [what, which] : steps) {
+          const std::string key = "k" + std::to_string(which % 3);
+          const int n = (which / 3) % 3;
+          switch (what % 8) {
+            case 0:
+            case 1:
+            case 2:
+              entries[n]->claims->Claim(
+                  key, [&, key, n](const ClaimResult& it) {
+                    if (it.state != ClaimState::kMayRun) return;
+                    RC_ASSERT(!ran.contains(key));
+                    RC_ASSERT(running.emplace(key, n).second);
+                  });
+              break;
+            case 3:
+            case 4: {
+              const auto it = running.find(key);
+              if (it == running.end()) break;
+              const int owner = it->second;
+              running.erase(it);
+              if (what >= 128) ran.insert(key);
+              entries[owner]->claims->Finish(key,
+                                             what >= 128 ? kDone : kNotRun);
+              break;
+            }
+            case 5:
+              loss = (what / 8) % 4 * 0.2;
+              break;
+            case 6:
+              store.set_down((what / 8) % 2 == 0);
+              store.set_stale_reads((what / 16) % 2 == 0);
+              break;
+            default:
+              store.set_latency(milliseconds(which % 2 == 0 ? 1 : 200));
+              break;
+          }
+          world.Advance(milliseconds(what % 5 * 100));
+        }
+        world.Advance(minutes(1));
+      }));
+}
+
+}  // namespace
+}  // namespace pomelomill
--- a/libs/routing/test/parts_test.cc
+++ b/libs/routing/test/parts_test.cc
@@ -134,6 +134,18 @@
     RC_ASSERT(given == (sum == 0 ? 0 : slots));
     RC_ASSERT(ShareOf(shares, EntryId("e0"), IncarnationId("old"), id, slots) ==
               0);
+    if (!shares.empty()) {
+      const std::uint32_t others =
+          sum == 0 ? 0
+                   : slots - ShareOf(shares, EntryId("e0"), IncarnationId("i"),
+                                     id, slots);
+      shares[0].phase = SharePhase::kLeaving;
+      std::uint32_t left = 0;
+      for (const EntryShare& it : shares) {
+        left += ShareOf(shares, it.entry, it.incarnation, id, slots);
+      }
+      RC_ASSERT(left == others);
+    }
   }));
 }
 
