Let a queue recover after a suspension with attempts in flight

Cause: the latency estimate of a queue decides what is shed. Attempts that were in flight while the process was suspended (or answers that stay slow beyond the deadline) raised the mean above the deadline; then every request was shed and no sample ever lowered it again. The new test fails without the change. Conclusion: early shedding no longer locks a queue out.

--- a/libs/routing/include/pomelomill/routing/latency_estimate.h
+++ b/libs/routing/include/pomelomill/routing/latency_estimate.h
@@ -9,9 +9,16 @@
 class LatencyEstimate {
  public:
   explicit LatencyEstimate(Duration prior)
-      : mean_(ToSeconds(prior)), high_(3 * ToSeconds(prior)) {}
+      : prior_(ToSeconds(prior)), mean_(prior_), high_(3 * prior_) {}
 
-  void Record(Duration latency);
+  void Record(Duration latency, Instant now);
+
+  /// Halves the excess of the mean over the prior for each `kForgetTime`
+  /// without a sample. A mean above the deadline sheds every request of the
+  /// queue, so no attempt would ever correct it.
+  void Forget(Instant now);
+
+  static constexpr Duration kForgetTime = std::chrono::seconds(2);
 
   Duration mean() const;
   /// Estimate of the 95% quantile: moves up by 19 steps when exceeded and
@@ -19,8 +26,11 @@
   Duration high() const;
 
  private:
+  double prior_;
   double mean_;
   double high_;
+  /// Of the latest sample or halving.
+  Instant changed_at_{};
 };
 
 }  // namespace pomelomill
--- a/libs/routing/src/router.cc
+++ b/libs/routing/src/router.cc
@@ -58,6 +58,7 @@
   Pool& pool = pools_.at(queue->pool);
   pool.retries.OnFreshRequest();
   pool.hedges.OnFreshRequest();
+  queue->latency.Forget(now_);
   if (queue->waiting.size() >= queue->waiting.capacity()) {
     return Shed(event.request, OutcomeReason::kQueueFull);
   }
@@ -88,7 +89,7 @@
     relative =
         ToSeconds(latency) / std::max(1e-6, ToSeconds(queue->latency.mean()));
     if (event.result == AttemptResult::kAnswered) {
-      queue->latency.Record(latency);
+      queue->latency.Record(latency, now_);
     }
   }
   endpoints_.OnFinished(attempt.vm, event.result, relative, now_);
--- a/libs/routing/test/router_test.cc
+++ b/libs/routing/test/router_test.cc
@@ -165,6 +165,28 @@
   CHECK(responses[0].retry_after >= seconds(1));
 }
 
+// Guards against a queue that sheds every request for ever: attempts that were
+// in flight while the process was suspended raise the estimate of the service
+// time above the deadline, and a shed request never corrects it.
+TEST_CASE("a queue recovers after a suspension with attempts in flight") {
+  Router router = MakeTestRouter(TestRegion(), kStart);
+  Instant now = kStart;
+  std::uint64_t id = 1;
+  for (int i = 0; i < 2; ++i) {
+    const auto sent =
+        Only<SendAttempt>(router.Handle(Layout(id++, now + seconds(2)), now));
+    REQUIRE(sent.size() == 1);
+    now += seconds(25);
+    router.Handle(
+        AttemptFinished{sent[0].attempt, AttemptResult::kAnswered, true}, now);
+  }
+  CHECK(Only<SendAttempt>(router.Handle(Layout(id++, now + seconds(2)), now))
+            .empty());
+  now += seconds(5);
+  CHECK(Only<SendAttempt>(router.Handle(Layout(id++, now + seconds(2)), now))
+            .size() == 1);
+}
+
 // Guards against sending work before membership has allowed it, and against
 // sending after a pause that outlasted the permit.
 TEST_CASE("nothing is sent without a permit") {
