--- a/libs/routing/test/parts_test.cc
+++ b/libs/routing/test/parts_test.cc
@@ -134,9 +134,41 @@
     RC_ASSERT(given == (sum == 0 ? 0 : slots));
     RC_ASSERT(ShareOf(shares, EntryId("e0"), IncarnationId("old"), id, slots) ==
               0);
+    if (!shares.empty()) {
+      const std::uint32_t others =
+          sum == 0 ? 0
+                   : slots - ShareOf(shares, EntryId("e0"), IncarnationId("i"),
+                                     id, slots);
+      shares[0].phase = SharePhase::kLeaving;
+      std::uint32_t left = 0;
+      for (const EntryShare& it : shares) {
+        left += ShareOf(shares, it.entry, it.incarnation, id, slots);
+      }
+      RC_ASSERT(left == others);
+    }
   }));
 }
 
+// Guards against an entry that uses its share before the old owner has given
+// it up, or after it has.
+TEST_CASE("joining and leaving entries own no slots") {
+  std::vector<EntryShare> shares;
+  for (int i = 0; i < 3; ++i) {
+    shares.push_back({EntryId("e" + std::to_string(i)), IncarnationId("i"), 1});
+  }
+  const VmId vm("vm-1");
+  const auto share = [&](int i) {
+    return ShareOf(shares, shares[i].entry, IncarnationId("i"), vm, 9);
+  };
+  CHECK(share(1) == 3);
+  for (const SharePhase phase : {SharePhase::kJoining, SharePhase::kLeaving}) {
+    shares[1].phase = phase;
+    CHECK(share(1) == 0);
+    CHECK(share(0) == 3);
+    CHECK(share(2) == 3);
+  }
+}
+
 // Guards against entries that own no slot anywhere when there are more
 // entries than slots of one VM.
 TEST_CASE("remainders of shares rotate over the VMs of a pool") {
