Run requests with keys through the traffic path

Cause: an order that is repeated by its caller must run once. Change: POST /-/keys issues keys; a key of this incarnation runs here, one of another is forwarded by a hook, a caller's own key waits for its claim. A keyed request goes on when its caller leaves, so that a repeat learns the outcome. Keys are letters, digits and "._:-", at most 128 bytes. Conclusion: repeats get 409 with the first outcome; without a claim nothing is sent.

--- a/libs/traffic/include/pomelomill/traffic/caller_protocol.h
+++ b/libs/traffic/include/pomelomill/traffic/caller_protocol.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "pomelomill/config.h"
 #include "pomelomill/routing.h"
@@ -20,7 +22,7 @@
   std::string key;
 };
 
-/// Longest Idempotency-Key.
+/// Longest Idempotency-Key. Letters, digits and "._:-" are allowed.
 inline constexpr std::size_t kMaxKeyBytes = 128;
 
 /// The request, or the status of the error (400, 404, 405). The caller's
@@ -40,6 +42,22 @@
 std::vector<HttpHeader> HeadersForEndpoint(const IncomingRequest& request,
                                            Duration time_left);
 
+/// Response for a key that may not run now: 409 with the first outcome when
+/// it is known, 504 when it never will be, 503 when the claim was refused.
+OutgoingResponse ResponseForKey(KeyState state,
+                                const std::optional<KeyOutcome>& first);
+OutgoingResponse ResponseForClaim(const ClaimResult& claim);
+
+/// The outcome that a response told its caller.
+KeyOutcome OutcomeOf(const OutgoingResponse& response);
+
+/// Keys that one call may issue.
+inline constexpr std::uint32_t kMaxKeysPerCall = 1000;
+
+/// N of "/-/keys?n=N", 1 without a query; none when the target is another or
+/// N is out of range.
+std::optional<std::uint32_t> KeysAskedFor(std::string_view target);
+
 /// A response made by the entry itself, with a JSON body {"error": reason}.
 OutgoingResponse ErrorResponse(int status, const std::string& reason);
 
--- a/libs/traffic/include/pomelomill/traffic/traffic_server.h
+++ b/libs/traffic/include/pomelomill/traffic/traffic_server.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "pomelomill/base.h"
 #include "pomelomill/routing.h"
@@ -16,6 +17,7 @@
 
 struct TrafficOptions {
   RouterOptions router;
+  KeyIssuerOptions keys;
   HttpListenerOptions callers;
   HttpListenerOptions admin;
   Duration report_interval = std::chrono::milliseconds(250);
@@ -31,6 +33,17 @@
   /// Answers the admin listener, on the traffic thread; the response may be
   /// given later.
   std::function<void(IncomingRequest, RespondHook)> on_admin;
+  /// Forwards a request to the entry that issued its key; its response goes to
+  /// the caller. Without this hook, and when that entry is dead, the outcome
+  /// is unknown and the request never runs.
+  std::function<void(IncarnationId, IncomingRequest, RespondHook)>
+      forward_keyed;
+  /// Claims keys that callers choose; calls `done` once on the traffic thread.
+  /// Without this hook such requests are refused as not run.
+  std::function<void(std::string key, std::function<void(ClaimResult)> done)>
+      claim_key;
+  /// Ends a request whose claim was kMayRun.
+  std::function<void(std::string key, KeyOutcome)> finish_key;
 };
 
 /// What the data plane reports to operators.
@@ -44,8 +57,8 @@
 };
 
 /// The data plane of one entry: accepts callers, asks the router and carries
-/// out its actions. Lives on the thread that runs `context`; only Post() and
-/// Drain() may be called from others.
+/// out its actions. Lives on the thread that runs `context`; only Post(),
+/// RunForPeer() and Drain() may be called from others.
 class TrafficServer {
  public:
   TrafficServer(asio::io_context& context, TimerService& timers,
@@ -60,6 +73,10 @@
   /// endpoint, a loan.
   void Post(RouterEvent event);
 
+  /// Runs a request with a key that this entry issued, for a peer (RunKeyed).
+  /// `respond` runs once on the traffic thread.
+  void RunForPeer(IncomingRequest request, RespondHook respond);
+
   /// Graceful stop: serves for the notice time, then takes no new requests,
   /// finishes those in hand and runs `done` once on the traffic thread.
   void Drain(std::function<void()> done);
--- a/libs/traffic/src/caller_protocol.cc
+++ b/libs/traffic/src/caller_protocol.cc
@@ -36,6 +36,16 @@
          IsSameHeaderName(name.substr(0, kPrefix.size()), kPrefix);
 }
 
+/// Keys become part of a path of the store.
+bool IsAllowedKey(std::string_view key) {
+  return key.size() <= kMaxKeyBytes &&
+         std::all_of(key.begin(), key.end(), [](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                  (c >= '0' && c <= '9') || c == '.' || c == '_' || c == ':' ||
+                  c == '-';
+         });
+}
+
 const char* ReasonText(OutcomeReason reason) {
   switch (reason) {
     case OutcomeReason::kComplete:
@@ -98,8 +108,8 @@
   }
   parsed.team = TeamId(std::string(request.header("Pomelomill-Team")));
   parsed.key = std::string(request.header("Idempotency-Key"));
-  if (parsed.key.size() > kMaxKeyBytes) {
-    return refuse(400, "Idempotency-Key is longer than 128 bytes");
+  if (!IsAllowedKey(parsed.key)) {
+    return refuse(400, "Idempotency-Key is malformed");
   }
   return parsed;
 }
@@ -126,6 +136,67 @@
   return response;
 }
 
+OutgoingResponse ResponseForKey(KeyState state,
+                                const std::optional<KeyOutcome>& first) {
+  OutgoingResponse response;
+  if (state == KeyState::kBusy) {
+    response = ErrorResponse(503, "too many requests with keys");
+    response.headers.push_back({"Retry-After", "1"});
+    response.headers.push_back({"Pomelomill-Outcome", "not-run"});
+    return response;
+  }
+  if (state == KeyState::kForeign || state == KeyState::kForgotten) {
+    response = ErrorResponse(504, "the key is not known any more");
+    response.headers.push_back({"Pomelomill-Outcome", "unknown"});
+    return response;
+  }
+  response = ErrorResponse(409, "the key was accepted before");
+  const bool is_answered = first && first->outcome == Outcome::kAnswered;
+  response.headers.push_back(
+      {"Pomelomill-Outcome", is_answered ? "answered" : "unknown"});
+  if (first) {
+    response.headers.push_back(
+        {"Pomelomill-First-Status", std::to_string(first->status)});
+  }
+  return response;
+}
+
+OutgoingResponse ResponseForClaim(const ClaimResult& claim) {
+  if (claim.state == ClaimState::kTaken) {
+    return ResponseForKey(KeyState::kDone, claim.outcome);
+  }
+  OutgoingResponse response =
+      ErrorResponse(503, "the key cannot be claimed at present");
+  response.headers.push_back({"Retry-After", "1"});
+  response.headers.push_back({"Pomelomill-Outcome", "not-run"});
+  return response;
+}
+
+KeyOutcome OutcomeOf(const OutgoingResponse& response) {
+  KeyOutcome outcome{.outcome = Outcome::kUnknown, .status = response.status};
+  for (const HttpHeader& it : response.headers) {
+    if (it.name != "Pomelomill-Outcome") continue;
+    if (it.value == "answered") outcome.outcome = Outcome::kAnswered;
+    if (it.value == "not-run") outcome.outcome = Outcome::kNotRun;
+  }
+  return outcome;
+}
+
+std::optional<std::uint32_t> KeysAskedFor(std::string_view target) {
+  constexpr std::string_view kPath = "/-/keys";
+  if (target == kPath) return 1;
+  constexpr std::string_view kQuery = "/-/keys?n=";
+  if (!target.starts_with(kQuery)) return std::nullopt;
+  target.remove_prefix(kQuery.size());
+  std::uint32_t n = 0;
+  const char* end = target.data() + target.size();
+  const auto [rest, ec] = std::from_chars(target.data(), end, n);
+  if (ec != std::errc() || rest != end || n == 0 || n > kMaxKeysPerCall) {
+    return std::nullopt;
+  }
+  return n;
+}
+
 OutgoingResponse PassedOn(HttpResponse response) {
   OutgoingResponse out;
   out.status = response.status;
--- a/libs/traffic/src/traffic_server.cc
+++ b/libs/traffic/src/traffic_server.cc
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -27,6 +28,7 @@
         options_(std::move(options)),
         hooks_(std::move(hooks)),
         router_(options_.router),
+        issuer_(options_.router.incarnation, options_.keys),
         client_(context),
         endpoints_(client_),
         declarations_(std::make_shared<const Declarations>()) {}
@@ -71,6 +73,15 @@
     }
   }
 
+  void RunForPeer(IncomingRequest request, RespondHook respond) {
+    // Connection 0 stands for peers; the listener counts from 1.
+    request.connection = 0;
+    auto parsed = ParseCallerRequest(request, *declarations_);
+    if (!parsed) return respond(std::move(parsed.error()));
+    const Instant deadline = timers_.Now() + parsed->time_allowed;
+    AcceptIssued(std::move(request), *parsed, deadline, std::move(respond));
+  }
+
   void Drain(std::function<void()> done) {
     if (is_draining_ || is_stopped_) return;
     is_draining_ = true;
@@ -103,6 +114,8 @@
   struct Pending {
     IncomingRequest request;
     RespondHook respond;
+    /// Reports the outcome of a request with a key.
+    std::function<void(KeyOutcome)> on_end;
   };
 
   void OnCaller(IncomingRequest request, RespondHook respond) {
@@ -115,17 +128,98 @@
       response.closes_connection = true;
       return respond(std::move(response));
     }
+    if (request.method == "POST" && request.target.starts_with("/-/keys")) {
+      return IssueKeys(request, respond);
+    }
     auto parsed = ParseCallerRequest(request, *declarations_);
     if (!parsed) return respond(std::move(parsed.error()));
+    const Instant deadline = now + parsed->time_allowed;
+    if (parsed->key.empty()) {
+      return Accept(std::move(request), *parsed, deadline, std::move(respond));
+    }
+    const auto issuer = KeyIssuer::IncarnationOf(parsed->key);
+    if (!issuer) {
+      return ClaimThenAccept(std::move(request), std::move(*parsed), deadline,
+                             std::move(respond));
+    }
+    if (*issuer == options_.router.incarnation) {
+      return AcceptIssued(std::move(request), *parsed, deadline,
+                          std::move(respond));
+    }
+    if (!hooks_.forward_keyed) {
+      return respond(ResponseForKey(KeyState::kForeign, {}));
+    }
+    hooks_.forward_keyed(*issuer, std::move(request), std::move(respond));
+  }
+
+  void IssueKeys(const IncomingRequest& request, const RespondHook& respond) {
+    const auto count = KeysAskedFor(request.target);
+    if (!count) return respond(ErrorResponse(400, "n is out of range"));
+    OutgoingResponse response;
+    response.headers.push_back({"Content-Type", "application/json"});
+    response.body = nlohmann::json{{"keys", issuer_.Issue(*count)}}.dump();
+    respond(std::move(response));
+  }
+
+  void AcceptIssued(IncomingRequest request, const CallerRequest& parsed,
+                    Instant deadline, RespondHook respond) {
+    const std::string key = parsed.key;
+    const KeyDecision decision = issuer_.Begin(key, timers_.Now());
+    if (decision.state != KeyState::kMayRun) {
+      return respond(
+          ResponseForKey(decision.state, decision.state == KeyState::kDone
+                                             ? std::optional(decision.outcome)
+                                             : std::nullopt));
+    }
+    Accept(std::move(request), parsed, deadline, std::move(respond),
+           [this, key](KeyOutcome outcome) {
+             issuer_.Finish(key, outcome, timers_.Now());
+           });
+  }
+
+  void ClaimThenAccept(IncomingRequest request, CallerRequest parsed,
+                       Instant deadline, RespondHook respond) {
+    if (!hooks_.claim_key || !hooks_.finish_key) {
+      return respond(ResponseForClaim({}));
+    }
+    ++open_claims_;
+    const std::string key = parsed.key;
+    auto shared = std::make_shared<Pending>(
+        Pending{std::move(request), std::move(respond), {}});
+    hooks_.claim_key(key, [self = weak_from_this(), shared, deadline,
+                           parsed = std::move(parsed)](ClaimResult claim) {
+      const auto it = self.lock();
+      if (it && !it->is_stopped_)
+        it->OnClaimed(*shared, parsed, deadline, claim);
+    });
+  }
+
+  void OnClaimed(Pending& pending, const CallerRequest& parsed,
+                 Instant deadline, const ClaimResult& claim) {
+    --open_claims_;
+    if (claim.state != ClaimState::kMayRun) {
+      return pending.respond(ResponseForClaim(claim));
+    }
+    Accept(std::move(pending.request), parsed, deadline,
+           std::move(pending.respond),
+           [this, key = parsed.key](KeyOutcome outcome) {
+             hooks_.finish_key(key, outcome);
+           });
+  }
+
+  void Accept(IncomingRequest request, const CallerRequest& parsed,
+              Instant deadline, RespondHook respond,
+              std::function<void(KeyOutcome)> on_end = {}) {
     const RequestId id = next_request_;
     next_request_ = next_request_.Next();
     by_connection_[request.connection].insert(id);
-    pending_.emplace(id, Pending{std::move(request), std::move(respond)});
+    pending_.emplace(
+        id, Pending{std::move(request), std::move(respond), std::move(on_end)});
     Feed(RequestArrived{.request = id,
-                        .queue = parsed->queue,
-                        .team = parsed->team,
-                        .deadline = now + parsed->time_allowed,
-                        .is_repeatable = parsed->key.empty()});
+                        .queue = parsed.queue,
+                        .team = parsed.team,
+                        .deadline = deadline,
+                        .is_repeatable = parsed.key.empty()});
   }
 
   void OnClosed(std::uint64_t connection) {
@@ -134,7 +228,11 @@
     const std::set<RequestId> requests = std::move(found->second);
     by_connection_.erase(found);
     for (const RequestId id : requests) {
-      pending_.erase(id);
+      const auto pending = pending_.find(id);
+      // A keyed request goes on without its caller, so that a repeat of the
+      // key learns the outcome.
+      if (pending == pending_.end() || pending->second.on_end) continue;
+      pending_.erase(pending);
       Feed(RequestCancelled{id});
     }
   }
@@ -165,6 +263,7 @@
     const auto found = pending_.find(action.request);
     if (found == pending_.end()) return;
     const RespondHook respond = std::move(found->second.respond);
+    const auto on_end = std::move(found->second.on_end);
     const std::uint64_t connection = found->second.request.connection;
     const auto requests = by_connection_.find(connection);
     if (requests != by_connection_.end()) {
@@ -173,9 +272,11 @@
     }
     pending_.erase(found);
     // The router answers with the attempt that has just ended or with none.
-    respond(action.outcome == Outcome::kAnswered
-                ? PassedOn(std::exchange(response_, {}))
-                : ResponseFor(action));
+    OutgoingResponse response = action.outcome == Outcome::kAnswered
+                                    ? PassedOn(std::exchange(response_, {}))
+                                    : ResponseFor(action);
+    if (on_end) on_end(OutcomeOf(response));
+    respond(std::move(response));
   }
 
   void Carry(const DropResponse& /*action*/) { response_ = {}; }
@@ -198,7 +299,8 @@
   }
 
   void WaitForOpenRequests(const std::function<void()>& done) {
-    if (router_.open_requests() == 0 && router_.open_attempts() == 0) {
+    if (router_.open_requests() == 0 && router_.open_attempts() == 0 &&
+        open_claims_ == 0) {
       return done();
     }
     drain_timer_ = timers_.ScheduleAfter(
@@ -210,6 +312,7 @@
   TrafficOptions options_;
   TrafficHooks hooks_;
   Router router_;
+  KeyIssuer issuer_;
   HttpClient client_;
   EndpointClient endpoints_;
   std::shared_ptr<const Declarations> declarations_;
@@ -223,6 +326,7 @@
   TimerId wake_timer_ = 0;
   TimerId report_timer_ = 0;
   TimerId drain_timer_ = 0;
+  std::size_t open_claims_ = 0;
   bool is_draining_ = false;
   bool takes_requests_ = true;
   bool is_stopped_ = false;
@@ -244,6 +348,15 @@
              });
 }
 
+void TrafficServer::RunForPeer(IncomingRequest request, RespondHook respond) {
+  asio::post(impl_->context(),
+             [impl = std::weak_ptr(impl_), request = std::move(request),
+              respond = std::move(respond)]() mutable {
+               const auto it = impl.lock();
+               if (it) it->RunForPeer(std::move(request), std::move(respond));
+             });
+}
+
 void TrafficServer::Drain(std::function<void()> done) {
   asio::post(impl_->context(),
              [impl = std::weak_ptr(impl_), done = std::move(done)] {
--- a/libs/traffic/test/traffic_fixture.h
+++ b/libs/traffic/test/traffic_fixture.h
@@ -87,21 +87,24 @@
       respond(response);
     };
     if (!endpoint.Start()) std::abort();
-    TrafficOptions options;
     options.router.entry = EntryId("a");
     options.router.incarnation = IncarnationId("a1");
     options.drain_notice = std::chrono::milliseconds(50);
     options.report_interval = std::chrono::milliseconds(10);
     change(options);
-    server = std::make_unique<TrafficServer>(
-        context, timers, options,
-        TrafficHooks{
-            [this](LoadReport it) { report = std::move(it); },
-            [](const IncomingRequest& request, const RespondHook& respond) {
-              OutgoingResponse response;
-              response.body = "admin " + request.target;
-              respond(response);
-            }});
+    hooks.on_report = [this](LoadReport it) { report = std::move(it); };
+    hooks.on_admin = [](const IncomingRequest& request,
+                        const RespondHook& respond) {
+      OutgoingResponse response;
+      response.body = "admin " + request.target;
+      respond(response);
+    };
+    Restart();
+  }
+
+  /// A new server with the current options and hooks.
+  void Restart() {
+    server = std::make_unique<TrafficServer>(context, timers, options, hooks);
     if (!server->Start()) std::abort();
     server->Post(DeclarationsChanged{MakeDeclarations()});
     SetAddress("127.0.0.1:" + std::to_string(endpoint.port()));
@@ -158,6 +161,8 @@
   AsioTimerService timers;
   HttpListener endpoint;
   Handler handler;
+  TrafficOptions options;
+  TrafficHooks hooks;
   std::vector<IncomingRequest> seen;
   std::unique_ptr<TrafficServer> server;
   LoadReport report;
--- a/libs/traffic/test/traffic_server_test.cc
+++ b/libs/traffic/test/traffic_server_test.cc
@@ -205,6 +205,70 @@
   CHECK(f.RunUntil([&] { return caller.has("whole"); }));
 }
 
+std::string KeyedOrder(const std::string& key) {
+  return "POST /proof/order/1 HTTP/1.1\r\nHost: x\r\nIdempotency-Key: " + key +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Guards against a key that runs twice on one entry, and a repeat that does
+// not learn the first outcome.
+TEST_CASE("a key that the entry issued runs once") {
+  TrafficFixture f;
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(
+      "POST /-/keys?n=2 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(f.RunUntil([&] { return caller.has("pomelomill.a1.2"); }));
+  RawCaller first(f.context, f.server->port());
+  first.Write(KeyedOrder("pomelomill.a1.2"));
+  REQUIRE(f.RunUntil([&] { return first.has("echo"); }));
+  RawCaller second(f.context, f.server->port());
+  second.Write(KeyedOrder("pomelomill.a1.2"));
+  REQUIRE(f.RunUntil([&] { return second.responses() == 1; }));
+  CHECK(second.received().starts_with("HTTP/1.1 409"));
+  CHECK(second.has("Pomelomill-Outcome: answered"));
+  CHECK(second.has("Pomelomill-First-Status: 200"));
+  RawCaller foreign(f.context, f.server->port());
+  foreign.Write(KeyedOrder("pomelomill.dead.2"));
+  REQUIRE(f.RunUntil([&] { return foreign.responses() == 1; }));
+  CHECK(foreign.received().starts_with("HTTP/1.1 504"));
+  CHECK(foreign.has("Pomelomill-Outcome: unknown"));
+  CHECK(f.seen.size() == 1);
+}
+
+// Guards against a caller's key that runs without a claim, and a claim that
+// never learns how its request ended.
+TEST_CASE("a caller's own key is claimed before the request is sent") {
+  std::vector<std::function<void(ClaimResult)>> claims;
+  std::vector<KeyOutcome> ends;
+  TrafficFixture f;
+  f.hooks.claim_key = [&](const std::string& key, auto done) {
+    CHECK(key == "order-17");
+    claims.push_back(std::move(done));
+  };
+  f.hooks.finish_key = [&](const std::string&, KeyOutcome it) {
+    ends.push_back(it);
+  };
+  f.Restart();
+  RawCaller caller(f.context, f.server->port());
+  caller.Write(KeyedOrder("order-17"));
+  REQUIRE(f.RunUntil([&] { return claims.size() == 1; }));
+  f.Run(milliseconds(30));
+  CHECK(f.seen.empty());
+  claims[0]({.state = ClaimState::kMayRun});
+  REQUIRE(f.RunUntil([&] { return caller.has("echo"); }));
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0] == KeyOutcome{Outcome::kAnswered, 200});
+  RawCaller refused(f.context, f.server->port());
+  refused.Write(KeyedOrder("order-17"));
+  REQUIRE(f.RunUntil([&] { return claims.size() == 2; }));
+  claims[1]({.state = ClaimState::kUnavailable});
+  REQUIRE(f.RunUntil([&] { return refused.responses() == 1; }));
+  CHECK(refused.has("HTTP/1.1 503"));
+  CHECK(refused.has("Pomelomill-Outcome: not-run"));
+  CHECK(refused.has("Retry-After: 1"));
+  CHECK(f.seen.size() == 1);
+}
+
 // Guards against an admin request that is taken for a caller's.
 TEST_CASE("the admin listener answers by the application's function") {
   TrafficFixture f;
