--- a/libs/peer/include/pomelomill/peer/exchange_book.h
+++ b/libs/peer/include/pomelomill/peer/exchange_book.h
@@ -12,9 +12,10 @@
 
 namespace pomelomill {
 
-/// What one peer has told about its pools, endpoints and members.
+/// What one peer has told about its pools, queues and endpoints.
 struct PeerView {
-  std::map<PoolId, PoolLoad> pools;
+  std::map<PoolId, PoolLoadUpdate> pools;
+  std::map<QueueId, QueueLoad> queues;
   std::map<VmId, EndpointUpdate> endpoints;
   std::vector<SlotLoan> loans;
   /// Sequence of the peer's lists that this view has.
@@ -34,7 +35,10 @@
   /// one request, is not sent, unless a number becomes or stops being zero:
   /// choosing between endpoints needs no better figure, and most pools would
   /// otherwise change in every interval.
-  void SetPool(const PoolLoad& load);
+  void SetPool(const PoolLoadUpdate& load);
+  /// The same for the demand of a queue; its counts alone are no reason to
+  /// send it, but the last ones go with each change of a rate.
+  void SetQueue(const QueueLoad& load);
   void SetEndpoint(const EndpointUpdate& update);
   void SetMember(const MemberInfo& info);
   void SetLoans(std::vector<SlotLoan> loans) { loans_ = std::move(loans); }
@@ -56,7 +60,8 @@
  private:
   std::size_t max_items_;
   std::uint64_t sequence_ = 0;
-  ChangeList<PoolId, PoolLoad> pools_;
+  ChangeList<PoolId, PoolLoadUpdate> pools_;
+  ChangeList<QueueId, QueueLoad> queues_;
   ChangeList<VmId, EndpointUpdate> endpoints_;
   ChangeList<IncarnationId, MemberInfo> members_;
   std::vector<SlotLoan> loans_;
--- a/libs/peer/src/exchange_book.cc
+++ b/libs/peer/src/exchange_book.cc
@@ -1,6 +1,7 @@
 #include "pomelomill/peer/exchange_book.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pomelomill {
@@ -14,12 +15,27 @@
   return change > 1 && 8 * static_cast<std::uint64_t>(change) > before;
 }
 
-bool IsNoticeable(const PoolLoad& before, const PoolLoad& after) {
+bool IsNoticeable(const PoolLoadUpdate& before, const PoolLoadUpdate& after) {
   return IsNoticeable(before.queued, after.queued) ||
          IsNoticeable(before.in_flight, after.in_flight) ||
          IsNoticeable(before.free_slots, after.free_slots);
 }
 
+bool IsNoticeable(double before, double after) {
+  if (before == after) return false;
+  if (before == 0 || after == 0) return true;
+  return 8 * std::abs(after - before) > before;
+}
+
+bool IsNoticeable(const QueueLoad& before, const QueueLoad& after) {
+  return IsNoticeable(before.mean_rate, after.mean_rate) ||
+         IsNoticeable(before.current_rate, after.current_rate) ||
+         IsNoticeable(ToSeconds(before.service_time),
+                      ToSeconds(after.service_time)) ||
+         IsNoticeable(static_cast<double>(before.missed),
+                      static_cast<double>(after.missed));
+}
+
 /// Drops changes after `limit`, appends the rest to `to`.
 template <typename Items, typename Value>
 void Append(const Items& items, std::uint64_t limit, std::vector<Value>* to) {
@@ -30,12 +46,18 @@
 
 }  // namespace
 
-void ExchangeBook::SetPool(const PoolLoad& load) {
-  const PoolLoad* before = pools_.Find(load.pool);
+void ExchangeBook::SetPool(const PoolLoadUpdate& load) {
+  const PoolLoadUpdate* before = pools_.Find(load.pool);
   if (before != nullptr && !IsNoticeable(*before, load)) return;
   if (pools_.Set(load.pool, load, sequence_ + 1)) ++sequence_;
 }
 
+void ExchangeBook::SetQueue(const QueueLoad& load) {
+  const QueueLoad* before = queues_.Find(load.queue);
+  if (before != nullptr && !IsNoticeable(*before, load)) return;
+  if (queues_.Set(load.queue, load, sequence_ + 1)) ++sequence_;
+}
+
 void ExchangeBook::SetEndpoint(const EndpointUpdate& update) {
   if (endpoints_.Set(update.vm, update, sequence_ + 1)) ++sequence_;
 }
@@ -54,13 +76,16 @@
     message.known = view->known;
   }
   const auto pools = pools_.Since(message.base);
+  const auto queues = queues_.Since(message.base);
   const auto endpoints = endpoints_.Since(message.base);
   const auto members = members_.Since(message.base);
 
   message.sequence = sequence_;
-  if (pools.size() + endpoints.size() + members.size() > max_items_) {
+  if (pools.size() + queues.size() + endpoints.size() + members.size() >
+      max_items_) {
     std::vector<std::uint64_t> sequences;
     for (const auto& item : pools) sequences.push_back(item.sequence);
+    for (const auto& item : queues) sequences.push_back(item.sequence);
     for (const auto& item : endpoints) sequences.push_back(item.sequence);
     for (const auto& item : members) sequences.push_back(item.sequence);
     const auto last = sequences.begin() + static_cast<long>(max_items_) - 1;
@@ -68,6 +93,7 @@
     message.sequence = *last;
   }
   Append(pools, message.sequence, &message.pools);
+  Append(queues, message.sequence, &message.queues);
   Append(endpoints, message.sequence, &message.endpoints);
   Append(members, message.sequence, &message.members);
   return message;
@@ -80,7 +106,8 @@
       std::max(view.acknowledged, std::min(message.known, sequence_));
   if (message.base > view.known || message.sequence < view.known) return;
   view.known = message.sequence;
-  for (const PoolLoad& load : message.pools) view.pools[load.pool] = load;
+  for (const PoolLoadUpdate& load : message.pools) view.pools[load.pool] = load;
+  for (const QueueLoad& load : message.queues) view.queues[load.queue] = load;
   for (const EndpointUpdate& update : message.endpoints) {
     view.endpoints[update.vm] = update;
   }
