--- a/libs/jobs/include/pomelomill/jobs/evidence.h
+++ b/libs/jobs/include/pomelomill/jobs/evidence.h
@@ -17,7 +17,7 @@
 
 /// Weighs failures of jobs and of workers against each other. A job is blamed
 /// when it fails on several workers that other jobs run on; a worker is blamed
-/// when several jobs fail on it that are not suspect themselves.
+/// when several jobs fail on it of which some have succeeded elsewhere.
 class Evidence {
  public:
   enum class WorkerHealth { kTrusted, kQuarantined, kProbing };
@@ -30,33 +30,39 @@
 
   explicit Evidence(EvidenceSettings settings) : settings_(settings) {}
 
-  /// A task of the job ended well on the worker. Returns true when this ends
-  /// the worker's quarantine.
-  bool TaskSucceeded(const JobId& job, WorkerIndex worker);
+  /// A task of the job ended well on the worker, one of `workers`. Returns
+  /// true when this ends the worker's quarantine.
+  bool TaskSucceeded(const JobId& job, WorkerIndex worker, Instant now,
+                     std::size_t workers);
 
-  /// A task of the job failed on the worker. Returns true when the worker is
-  /// quarantined because of it.
-  bool TaskFailed(const JobId& job, WorkerIndex worker, Instant now,
+  /// A task of the job failed on the worker.
+  void TaskFailed(const JobId& job, WorkerIndex worker, Instant now,
                   std::size_t workers);
 
+  /// Workers that were quarantined since the last call.
+  std::vector<WorkerIndex> TakeQuarantined();
+
   /// The attempt ended without telling anything about job or worker, for
   /// example by cancellation; a probe may be tried again.
   void TaskEndedOtherwise(const JobId& job, WorkerIndex worker);
 
-  /// The worker was lost while it ran a task of the job. Counts towards the
-  /// hard limit only, since most losses are not the job's doing.
-  void TaskLost(const JobId& job);
-
   /// Whether the job is to be given up because of a task that failed on
-  /// `failed_on` (one entry for each failure). `max_attempts` is that of the
-  /// job's class.
+  /// `failed_on` (one entry for each failure) and was lost with its worker
+  /// `losses` times. Losses count towards the hard limit only, since most are
+  /// not the job's doing. `max_attempts` is that of the job's class.
   std::optional<Verdict> Judge(const JobId& job,
                                const std::vector<WorkerIndex>& failed_on,
+                               std::uint32_t losses,
                                std::uint32_t max_attempts) const;
 
   /// Whether an ordinary task may be placed on the worker.
   bool IsUsable(WorkerIndex worker) const;
 
+  /// Whether the evidence speaks against the worker, in quarantine or not;
+  /// the bound on quarantines may keep it in use.
+  bool IsBlamed(WorkerIndex worker) const;
+  bool has_blamed_outside() const { return blamed_outside_ > 0; }
+
   /// Whether the worker is in quarantine and due for a probe.
   bool IsProbeDue(WorkerIndex worker, Instant now) const;
 
@@ -90,25 +96,30 @@
     std::map<WorkerIndex, std::uint32_t> failures;
     std::uint32_t total_failures = 0;
     std::uint32_t successes = 0;
-    std::uint32_t losses = 0;
   };
   struct WorkerEvidence {
     WorkerHealth health = WorkerHealth::kTrusted;
-    /// Failures of each job since the last success.
-    std::map<JobId, std::uint32_t> failed_jobs;
+    /// Jobs that failed since the last success; true when the job has
+    /// succeeded on another worker, which speaks against this one.
+    std::map<JobId, bool> failed_jobs;
+    bool is_blamed_outside = false;
     std::uint64_t successes = 0;
     Instant probe_at{};
     Duration probe_after{};
     JobId probe;
   };
 
-  bool IsSuspect(const JobId& job, WorkerIndex except) const;
+  bool HasCaseAgainst(const WorkerEvidence& record) const;
+  void Consider(WorkerIndex worker, Instant now, std::size_t workers);
   void Quarantine(WorkerEvidence& record, Instant now);
 
   EvidenceSettings settings_;
   std::unordered_map<JobId, JobRecord> jobs_;
   std::unordered_map<WorkerIndex, WorkerEvidence> workers_;
   std::size_t quarantined_ = 0;
+  /// Workers that are blamed but found no room in the quarantine.
+  std::size_t blamed_outside_ = 0;
+  std::vector<WorkerIndex> newly_quarantined_;
 };
 
 }  // namespace pomelomill
--- a/libs/jobs/include/pomelomill/jobs/job_settings.h
+++ b/libs/jobs/include/pomelomill/jobs/job_settings.h
@@ -27,6 +27,8 @@
   /// Jobs that must fail on a worker since its last success before the worker
   /// can be blamed.
   std::uint32_t worker_jobs = 3;
+  /// How many of these must have succeeded on other workers.
+  std::uint32_t proven_jobs = 2;
   /// Share of the workers that may be in quarantine at once; at least one.
   double max_quarantined_share = 0.1;
   /// Time from quarantine to the first probe; doubles after each failed probe.
@@ -58,7 +60,7 @@
   Duration max_retry_after = std::chrono::minutes(1);
   /// For this long a task avoids workers on which it failed; afterwards they
   /// are allowed again, or a job with few possible workers would wait forever.
-  Duration avoid_for = std::chrono::seconds(30);
+  Duration avoid_for = std::chrono::minutes(2);
   /// A worker that does not respond is not used again for this long.
   Duration unreachable_for = std::chrono::seconds(30);
   /// Refused starts in a row after which a refusal counts as a failure. Fewer
--- a/libs/jobs/src/evidence.cc
+++ b/libs/jobs/src/evidence.cc
@@ -1,6 +1,7 @@
 #include "pomelomill/jobs/evidence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelomill {
 namespace {
@@ -11,13 +12,21 @@
 
 }  // namespace
 
-bool Evidence::TaskSucceeded(const JobId& job, WorkerIndex worker) {
+bool Evidence::TaskSucceeded(const JobId& job, WorkerIndex worker, Instant now,
+                             std::size_t workers) {
   JobRecord& record = jobs_[job];
   ++record.successes;
   record.failures.erase(worker);
+  for (const auto& [other, n] : record.failures) {
+    const auto failed = workers_[other].failed_jobs.find(job);
+    if (failed == workers_[other].failed_jobs.end()) continue;
+    failed->second = true;
+    Consider(other, now, workers);
+  }
   WorkerEvidence& evidence = workers_[worker];
   ++evidence.successes;
   evidence.failed_jobs.clear();
+  Consider(worker, now, workers);
   // Tasks that were placed before the quarantine tell nothing new when the
   // worker has failed since; only the probe ends the quarantine.
   if (evidence.health != WorkerHealth::kProbing || evidence.probe != job)
@@ -29,31 +38,56 @@
   return true;
 }
 
-bool Evidence::TaskFailed(const JobId& job, WorkerIndex worker, Instant now,
+void Evidence::TaskFailed(const JobId& job, WorkerIndex worker, Instant now,
                           std::size_t workers) {
   JobRecord& record = jobs_[job];
   ++record.total_failures;
   ++record.failures[worker];
   WorkerEvidence& evidence = workers_[worker];
-  if (evidence.failed_jobs.size() < kMaxFailedJobs ||
-      evidence.failed_jobs.contains(job))
-    ++evidence.failed_jobs[job];
+  if (evidence.failed_jobs.size() < kMaxFailedJobs)
+    evidence.failed_jobs[job] |= record.successes > 0;
   if (evidence.health == WorkerHealth::kProbing && evidence.probe == job) {
     evidence.health = WorkerHealth::kQuarantined;
     evidence.probe_after =
         std::min(settings_.max_probe_after, 2 * evidence.probe_after);
     evidence.probe_at = now + evidence.probe_after;
     evidence.probe = {};
-    return false;
+    return;
+  }
+  Consider(worker, now, workers);
+}
+
+bool Evidence::HasCaseAgainst(const WorkerEvidence& record) const {
+  const auto proven =
+      std::count_if(record.failed_jobs.begin(), record.failed_jobs.end(),
+                    [](const auto& it) { return it.second; });
+  return record.failed_jobs.size() >= settings_.worker_jobs &&
+         static_cast<std::uint32_t>(proven) >= settings_.proven_jobs;
+}
+
+void Evidence::Consider(WorkerIndex worker, Instant now, std::size_t workers) {
+  WorkerEvidence& evidence = workers_[worker];
+  if (evidence.health != WorkerHealth::kTrusted) return;
+  const bool is_blamed = HasCaseAgainst(evidence);
+  const bool has_room = quarantined_ < MaxQuarantined(workers);
+  const bool is_outside = is_blamed && !has_room;
+  if (is_outside != evidence.is_blamed_outside) {
+    evidence.is_blamed_outside = is_outside;
+    blamed_outside_ += is_outside ? 1 : -1;
   }
-  if (evidence.health != WorkerHealth::kTrusted) return false;
-  const auto sound = std::count_if(
-      evidence.failed_jobs.begin(), evidence.failed_jobs.end(),
-      [&](const auto& it) { return !IsSuspect(it.first, worker); });
-  if (static_cast<std::uint32_t>(sound) < settings_.worker_jobs) return false;
-  if (quarantined_ >= MaxQuarantined(workers)) return false;
+  if (!is_blamed || !has_room) return;
   Quarantine(evidence, now);
-  return true;
+  newly_quarantined_.push_back(worker);
+}
+
+std::vector<WorkerIndex> Evidence::TakeQuarantined() {
+  return std::exchange(newly_quarantined_, {});
+}
+
+bool Evidence::IsBlamed(WorkerIndex worker) const {
+  const auto it = workers_.find(worker);
+  return it != workers_.end() && (it->second.health != WorkerHealth::kTrusted ||
+                                  it->second.is_blamed_outside);
 }
 
 void Evidence::TaskEndedOtherwise(const JobId& job, WorkerIndex worker) {
@@ -65,19 +99,6 @@
   it->second.probe = {};
 }
 
-bool Evidence::IsSuspect(const JobId& job, WorkerIndex except) const {
-  const auto it = jobs_.find(job);
-  if (it == jobs_.end() || it->second.successes > 0) return false;
-  // Without a success, a job that also fails on other workers that are
-  // trusted may itself be the cause.
-  std::uint32_t elsewhere = 0;
-  for (const auto& [worker, n] : it->second.failures) {
-    if (worker != except && Health(worker) == WorkerHealth::kTrusted)
-      ++elsewhere;
-  }
-  return elsewhere > 0;
-}
-
 void Evidence::Quarantine(WorkerEvidence& record, Instant now) {
   record.health = WorkerHealth::kQuarantined;
   record.probe_after = settings_.probe_after;
@@ -85,11 +106,9 @@
   ++quarantined_;
 }
 
-void Evidence::TaskLost(const JobId& job) { ++jobs_[job].losses; }
-
 std::optional<Evidence::Verdict> Evidence::Judge(
     const JobId& job, const std::vector<WorkerIndex>& failed_on,
-    std::uint32_t max_attempts) const {
+    std::uint32_t losses, std::uint32_t max_attempts) const {
   const auto it = jobs_.find(job);
   if (it == jobs_.end()) return std::nullopt;
   const JobRecord& record = it->second;
@@ -104,7 +123,7 @@
       std::to_string(record.total_failures) + " failures on " +
       std::to_string(record.failures.size()) + " workers, " +
       std::to_string(sound_workers) + " of which run other jobs; " +
-      std::to_string(record.losses) + " lost with their worker; " +
+      std::to_string(losses) + " lost with the worker; " +
       std::to_string(record.successes) + " successes";
   if (record.successes == 0 && sound_workers >= settings_.job_workers)
     return Verdict{JobFailure::kFailsOnAllWorkers,
@@ -119,8 +138,10 @@
                    "one task reached max_attempts " + std::to_string(limit) +
                        ": " + facts};
   const std::uint32_t hard = limit * settings_.hard_attempts_factor;
-  if (failed_on.size() >= hard ||
-      (record.successes == 0 && record.total_failures + record.losses >= hard))
+  // Many tasks that fail on few workers say little about the job; failures on
+  // that many workers without a single success do.
+  if (failed_on.size() + losses >= hard ||
+      (record.successes == 0 && record.failures.size() >= hard))
     return Verdict{JobFailure::kTooManyAttempts, "reached the hard limit of " +
                                                      std::to_string(hard) +
                                                      " attempts: " + facts};
--- a/libs/jobs/src/job_table.h
+++ b/libs/jobs/src/job_table.h
@@ -41,8 +41,8 @@
   /// Placed by a reservation for long waiting tasks; not taken back by quota.
   bool is_protected = false;
   std::uint32_t attempts = 0;
-  std::uint32_t starts_sent = 0;
   std::uint32_t preemptions = 0;
+  std::uint32_t losses = 0;
   WorkerIndex worker = kNoWorker;
   PlaceNumber place;
   TaskId attempt;
@@ -68,6 +68,7 @@
   JobClassDeclaration job_class;
   std::uint64_t sequence = 0;
   Instant submitted_at{};
+  Instant last_start{};
   bool is_cancelled = false;
   std::uint32_t refusals = 0;
   std::uint32_t done = 0;
--- a/libs/jobs/src/place_ledger.cc
+++ b/libs/jobs/src/place_ledger.cc
@@ -40,7 +40,16 @@
   const auto it = places_.find(place);
   if (it == places_.end()) return false;
   WorkerRoom& room = workers_[it->second.worker];
-  room.reserved = room.reserved - it->second.size;
+  // The excess was measured over all tasks; the leaving one takes its share.
+  const auto keep = [](double left, double whole) {
+    return whole > 0 && left > 0 ? left / whole : 0.0;
+  };
+  const Resources left = room.reserved - it->second.size;
+  room.excess.cores *= keep(left.cores, room.reserved.cores);
+  room.excess.memory_mb *= keep(left.memory_mb, room.reserved.memory_mb);
+  room.excess.accelerators *=
+      keep(left.accelerators, room.reserved.accelerators);
+  room.reserved = left;
   room.leaving = room.leaving - it->second.leaving;
   room.places.erase(std::find(room.places.begin(), room.places.end(), place));
   // Sums of doubles drift; an empty worker is a chance to correct them.
--- a/libs/jobs/src/scheduler_claims.cc
+++ b/libs/jobs/src/scheduler_claims.cc
@@ -34,6 +34,8 @@
                                                  const TeamId& team,
                                                  VictimRule rule, Instant now) {
   std::vector<VictimOption> options;
+  // What each team still borrows when the options so far are used.
+  std::map<TeamId, double> borrowed;
   for (const PlaceNumber it : ledger_.worker(w).places) {
     const TaskRef ref = by_place_.at(it);
     const TaskEntry& task = ref.task();
@@ -43,11 +45,14 @@
       continue;
     const QuotaBook::TeamUse& use = quotas_.Use(job_class.team);
     const bool is_own = job_class.team == team;
-    const bool is_borrowed = use.Borrowed() > 0;
+    double& left =
+        borrowed.try_emplace(job_class.team, use.Borrowed()).first->second;
+    const bool is_borrowed = left > 0;
     if (rule == VictimRule::kBorrowed &&
         (is_own || !is_borrowed || task.is_protected))
       continue;
     if (rule == VictimRule::kBorrowedOrOwn && !is_own && !is_borrowed) continue;
+    left -= task.size.cores;
     double penalty = !is_own && !is_borrowed ? kInQuotaCost : 0;
     if (task.preemptions >= settings_.max_preemptions)
       penalty += kOftenPreemptedCost;
--- a/libs/jobs/src/scheduler_core.cc
+++ b/libs/jobs/src/scheduler_core.cc
@@ -175,7 +175,7 @@
   TaskEntry& task = ref.task();
   task.phase = TaskPhase::kWaiting;
   task.waiting_since = now;
-  // A start that was sent again may still arrive until its last delivery.
+  // A start that was sent may still arrive until its last delivery.
   task.not_before =
       std::max({not_before, task.lease.last_delivery(), task.held_until});
   if (task.not_before > now)
@@ -202,6 +202,16 @@
   TaskEntry& task = ref.task();
   const LeaveReason leave = task.leave;
   const WorkerIndex w = task.worker;
+  // 404 can overtake the report of a task that has just ended well. A start
+  // that was never confirmed has run, if at all, for less than its delivery.
+  const bool may_have_finished =
+      is_lost && (task.confirmed_at ||
+                  sizes_.RunTime(ref.job->job_class.id) <
+                      settings_.lease.max_delivery + settings_.max_report_lag);
+  const Instant not_before =
+      may_have_finished && !task.lease.IsCertainlyExpired(now)
+          ? now + settings_.max_report_lag + settings_.resend_after
+          : now;
   if (leave == LeaveReason::kNone || !is_lost)
     evidence_.TaskEndedOtherwise(ref.job->id, w);
   EndAttempt(ref, now);
@@ -211,9 +221,10 @@
   }
   if (is_lost && leave == LeaveReason::kNone) {
     ++stats_.lost_attempts;
-    evidence_.TaskLost(ref.job->id);
-    const auto verdict = evidence_.Judge(ref.job->id, task.failed_on,
-                                         ref.job->job_class.max_attempts);
+    ++task.losses;
+    const auto verdict =
+        evidence_.Judge(ref.job->id, task.failed_on, task.losses,
+                        ref.job->job_class.max_attempts);
     if (verdict) {
       Requeue(ref, now, now);
       GiveUp(*ref.job, verdict->failure, verdict->reason, now);
@@ -221,7 +232,7 @@
       return;
     }
   }
-  Requeue(ref, now, now);
+  Requeue(ref, not_before, now);
 }
 
 double SchedulerCore::ProgressAt(const TaskRef& ref, Instant now) const {
--- a/libs/jobs/src/scheduler_core.h
+++ b/libs/jobs/src/scheduler_core.h
@@ -100,6 +100,7 @@
   // Task events.
   void Confirm(TaskRef ref, Instant now);
   void OnStartEnded(TaskRef ref, const TaskCallEnded& event, Instant now);
+  void RecordQuarantines(Instant now);
   void OnStartRefused(TaskRef ref, Instant now);
   void SendOperation(TaskRef ref, TaskOperation operation, Instant now);
   void ResendOperation(TaskRef ref, Instant now);
@@ -124,6 +125,8 @@
   bool PlaceTasks(JobEntry& job, PassState& pass, Instant now);
   bool IsAllowed(const JobEntry& job, const TaskEntry& task, WorkerIndex w,
                  Instant now) const;
+  PlacementChoice Choose(const JobEntry& job, const TaskEntry& task,
+                         const Resources& size, Instant now) const;
   /// Starts the task on a quarantined worker that is due for a probe.
   bool SendProbe(TaskRef ref, const Resources& size, Instant now);
   void Start(TaskRef ref, WorkerIndex w, const Resources& size,
--- a/libs/jobs/src/scheduler_pass.cc
+++ b/libs/jobs/src/scheduler_pass.cc
@@ -60,6 +60,22 @@
              task.failed_on.end();
 }
 
+PlacementChoice SchedulerCore::Choose(const JobEntry& job,
+                                      const TaskEntry& task,
+                                      const Resources& size,
+                                      Instant now) const {
+  if (evidence_.has_blamed_outside()) {
+    const PlacementChoice choice =
+        ChoosePlacement(ledger_, size, job.spread, [&](WorkerIndex w) {
+          return !evidence_.IsBlamed(w) && IsAllowed(job, task, w, now);
+        });
+    if (choice.worker != kNoWorker) return choice;
+  }
+  return ChoosePlacement(ledger_, size, job.spread, [&](WorkerIndex w) {
+    return IsAllowed(job, task, w, now);
+  });
+}
+
 void SchedulerCore::StartClaimed(Instant now) {
   std::vector<TaskRef> open;
   open.swap(claims_);
@@ -135,9 +151,7 @@
         IsAllowed(job, task, job.reserved_worker, now)) {
       choice.worker = job.reserved_worker;
     } else {
-      choice = ChoosePlacement(ledger_, size, job.spread, [&](WorkerIndex w) {
-        return IsAllowed(job, task, w, now);
-      });
+      choice = Choose(job, task, size, now);
     }
     if (choice.worker == kNoWorker) {
       if (!job.job_class.is_urgent && SendProbe(ref, size, now)) continue;
@@ -242,7 +256,6 @@
   task.place = ledger_.Reserve(w, size);
   ++task.attempts;
   task.attempt = MakeTaskId({job.id, ref.index, epoch_.value(), task.attempts});
-  task.starts_sent = 0;
   task.started_at = now;
   task.confirmed_at.reset();
   task.lease = {};
@@ -256,6 +269,7 @@
   }
   job.spread.Add(ledger_.worker(w));
   ++job.running;
+  job.last_start = now;
   ++stats_.starts;
   WorkerState& state = worker_states_[w];
   state.last_change = now;
@@ -305,8 +319,10 @@
       if (++n > settings_.lookahead) break;
       const std::size_t i = NextWaiting(*job, now);
       if (i == kNone) continue;
+      // A job whose tasks start one after the other needs no reservation.
       const Instant due =
-          job->tasks[job->waiting[i]].waiting_since + settings_.reserve_after;
+          std::max(job->tasks[job->waiting[i]].waiting_since, job->last_start) +
+          settings_.reserve_after;
       if (now < due) {
         next_ready_ = std::min(next_ready_, due);
         continue;
--- a/libs/jobs/src/scheduler_tasks.cc
+++ b/libs/jobs/src/scheduler_tasks.cc
@@ -35,7 +35,7 @@
   const WorkerIndex w = ref.task().worker;
   RecordRunTime(ref, now);
   if (event.peak) sizes_.AddUsage(ref.job->job_class.id, *event.peak);
-  if (evidence_.TaskSucceeded(ref.job->id, w)) {
+  if (evidence_.TaskSucceeded(ref.job->id, w, now, ledger_.workers().size())) {
     Decision decision;
     decision.subjects = {{"worker", ledger_.worker(w).id.value()},
                          {"job", ref.job->id.value()}};
@@ -44,10 +44,28 @@
     decision.alternatives = {{"stay in quarantine", "needs a failed probe", 0}};
     Record(std::move(decision), now);
   }
+  RecordQuarantines(now);
   EndAttempt(ref, now);
   MarkDone(ref, now);
 }
 
+void SchedulerCore::RecordQuarantines(Instant now) {
+  for (const WorkerIndex w : evidence_.TakeQuarantined()) {
+    Decision decision;
+    decision.subjects = {{"worker", ledger_.worker(w).id.value()}};
+    decision.choice = "worker quarantined";
+    decision.reason =
+        "several jobs failed on it in a row, some of which succeed elsewhere";
+    decision.facts = {
+        {"workers in quarantine", std::to_string(evidence_.quarantined())},
+        {"most allowed",
+         std::to_string(evidence_.MaxQuarantined(ledger_.workers().size()))}};
+    decision.alternatives = {
+        {"blame the jobs", "they succeed on other workers", 0}};
+    Record(std::move(decision), now);
+  }
+}
+
 void SchedulerCore::On(const TaskFailed& event, Instant now) {
   const TaskRef ref = Live(event.task);
   if (ref.job == nullptr) return;
@@ -67,17 +85,8 @@
     evidence_.TaskEndedOtherwise(job.id, w);
   } else {
     task.failed_on.push_back(w);
-    if (evidence_.TaskFailed(job.id, w, now, ledger_.workers().size())) {
-      Decision decision;
-      decision.subjects = {{"worker", ledger_.worker(w).id.value()},
-                           {"job", job.id.value()}};
-      decision.choice = "worker quarantined";
-      decision.reason = "several jobs failed on it that are not suspect";
-      decision.facts = {{"last failure", event.detail}};
-      decision.alternatives = {
-          {"blame the job", "it has not failed on other trusted workers", 0}};
-      Record(std::move(decision), now);
-    }
+    evidence_.TaskFailed(job.id, w, now, ledger_.workers().size());
+    RecordQuarantines(now);
   }
   EndAttempt(ref, now);
   const auto shift = std::min<std::size_t>(task.failed_on.size(), 16);
@@ -87,8 +96,8 @@
           : std::min(settings_.max_retry_after,
                      settings_.retry_after * (std::int64_t{1} << shift) / 2);
   Requeue(ref, now + wait, now);
-  const auto verdict =
-      evidence_.Judge(job.id, task.failed_on, job.job_class.max_attempts);
+  const auto verdict = evidence_.Judge(job.id, task.failed_on, task.losses,
+                                       job.job_class.max_attempts);
   if (!verdict) return;
   const std::string detail =
       event.detail.empty() ? "" : "; last error: " + event.detail;
@@ -98,7 +107,14 @@
 
 void SchedulerCore::On(const TaskCheckpointed& event, Instant now) {
   const TaskRef ref = Live(event.task);
-  if (ref.job == nullptr) return;
+  if (ref.job == nullptr) {
+    // The report came after other proof of the end; the checkpoint is valid.
+    const TaskRef late = LateResult(event.task);
+    if (late.job != nullptr && late.task().phase != TaskPhase::kRunning)
+      late.task().progress =
+          std::clamp(event.progress, late.task().progress, 1.0);
+    return;
+  }
   TaskEntry& task = ref.task();
   task.progress = std::clamp(event.progress, task.progress, 1.0);
   EndUnfinished(ref, now, false);
@@ -133,6 +149,8 @@
       task.size.cores -= task.leaving_cores;
       task.leaving_cores = 0;
       task.is_throttled = true;
+      // Usage reports from before the throttle do not count against the worker.
+      worker_states_[task.worker].last_change = now;
       task.leave = LeaveReason::kNone;
       task.pending.reset();
       is_dirty_ = true;
@@ -159,14 +177,12 @@
       Confirm(ref, now);
       return;
     case CallOutcome::kRefused:
-      // After a repeated start, 409 may mean that the first one took effect.
-      if (task.starts_sent == 1 && !task.confirmed_at) OnStartRefused(ref, now);
+      if (!task.confirmed_at) OnStartRefused(ref, now);
       return;
     case CallOutcome::kUnknown:
-      // The repeat carries the same task id to the same worker, which refuses
-      // a task that it already has; it cannot lead to a second run.
-      if (task.starts_sent == 1 && !task.confirmed_at && !task.pending)
-        SendStart(ref, now);
+      // Counts as started. A start is never repeated under the same id: the
+      // first one may still arrive after the second one has run and ended.
+      // Upkeep settles it once no start can arrive any more.
       return;
   }
 }
@@ -203,7 +219,6 @@
 
 void SchedulerCore::SendStart(TaskRef ref, Instant now) {
   TaskEntry& task = ref.task();
-  ++task.starts_sent;
   task.lease.StartSent(now, settings_.lease);
   Due(task.worker, task.lease.last_delivery());
   TaskStart start;
--- a/libs/jobs/src/scheduler_workers.cc
+++ b/libs/jobs/src/scheduler_workers.cc
@@ -109,7 +109,6 @@
   task.worker = w;
   task.size = SizeFor(ref);
   task.place = ledger_.Reserve(w, task.size);
-  task.starts_sent = 1;
   task.started_at = now;
   task.confirmed_at = now;
   task.lease = {};
@@ -163,6 +162,11 @@
   if (w == kNoWorker) return;
   WorkerState& state = worker_states_[w];
   if (event.is_renewed) {
+    // It responds again; one lost message must not idle it any longer.
+    if (state.unknown_renewals > 0) {
+      state.unusable_until = now;
+      is_dirty_ = true;
+    }
     state.unknown_renewals = 0;
     return;
   }
--- a/libs/jobs/src/size_book.cc
+++ b/libs/jobs/src/size_book.cc
@@ -1,13 +1,15 @@
 #include "pomelomill/jobs/size_book.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelomill {
 namespace {
 
-// A size that is too small makes tasks fail, one that is too large only wastes
-// room; therefore sizes use a high quantile.
-constexpr double kSizeQuantile = 0.9;
+// A task with too few cores runs slower; one with too little memory fails, so
+// that memory uses the highest of the samples.
+constexpr double kCoresQuantile = 0.9;
+constexpr double kMemoryQuantile = 0.98;
 constexpr double kRunTimeQuantile = 0.75;
 // Below these a task would not get any processor time or memory at all.
 constexpr double kMinCores = 0.05;
@@ -20,14 +22,20 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
 }
 
+// Rounds up to a whole step. Samples are floats and shares of sums; a
+// hundredth of a step is far above their error and must not cost a step.
+double RoundUp(double value, double step) {
+  return std::ceil(value / step - 0.01) * step;
+}
+
 }  // namespace
 
 void SizeBook::Declare(const JobClassDeclaration& job_class) {
   const auto [it, is_new] = classes_.try_emplace(job_class.id);
   ClassEstimate& e = it->second;
   if (is_new) {
-    e.cores = QuantileEstimate(job_class.cores, kSizeQuantile);
-    e.memory_mb = QuantileEstimate(job_class.memory_mb, kSizeQuantile);
+    e.cores = QuantileEstimate(job_class.cores, kCoresQuantile);
+    e.memory_mb = QuantileEstimate(job_class.memory_mb, kMemoryQuantile);
     e.run_s = QuantileEstimate(ToSeconds(job_class.run_time), kRunTimeQuantile);
   }
   e.accelerators = job_class.accelerators;
@@ -37,8 +45,9 @@
   const auto it = classes_.find(job_class);
   if (it == classes_.end()) return {};
   const ClassEstimate& e = it->second;
-  return {std::max(kMinCores, e.cores.value()),
-          std::max(kMinMemoryMb, e.memory_mb.value()), e.accelerators};
+  return {std::max(kMinCores, RoundUp(e.cores.value(), 0.01)),
+          std::max(kMinMemoryMb, RoundUp(e.memory_mb.value(), 1)),
+          e.accelerators};
 }
 
 Duration SizeBook::RunTime(const std::string& job_class) const {
