--- a/libs/store/include/pomelomill/store.h
+++ b/libs/store/include/pomelomill/store.h
@@ -5,6 +5,7 @@
 #include "pomelomill/store/call_counter.h"
 #include "pomelomill/store/cas_writer.h"
 #include "pomelomill/store/circuit_breaker.h"
+#include "pomelomill/store/http_store_client.h"
 #include "pomelomill/store/key_watcher.h"
 #include "pomelomill/store/lease_keeper.h"
 #include "pomelomill/store/store_client.h"
