--- a/libs/routing/include/pomelomill/routing/budget_account.h
+++ b/libs/routing/include/pomelomill/routing/budget_account.h
@@ -38,6 +38,7 @@
 
  private:
   std::int64_t StepOf(Instant now) const;
+  BudgetCounts Sum(std::int64_t step) const;
 
   double availability_;
   Duration step_;
@@ -45,6 +46,10 @@
   std::array<BudgetCounts, kSteps> counts_{};
   /// Step number that each slot of `counts_` holds.
   std::array<std::int64_t, kSteps> steps_{};
+  /// Sum over the window that ends with the step of the latest record; each
+  /// request reads it several times.
+  BudgetCounts latest_sum_;
+  std::int64_t latest_step_ = -1;
 };
 
 }  // namespace pomelomill
--- a/libs/routing/include/pomelomill/routing/router.h
+++ b/libs/routing/include/pomelomill/routing/router.h
@@ -164,6 +164,7 @@
   bool IsShedding(const Pool& pool) const;
   Duration RetryAfter(const PoolId& pool) const;
   Queue* FindQueue(const QueueId& id);
+  bool HasWaiting(const Pool& pool) const;
   std::vector<QueueView> Views(const Pool& pool) const;
   double QuotaShare() const;
   void RequestWakeUp();
--- a/libs/routing/src/budget_account.cc
+++ b/libs/routing/src/budget_account.cc
@@ -23,12 +23,23 @@
     steps_[slot] = step;
     counts_[slot] = {};
   }
+  if (latest_step_ != step) {
+    latest_step_ = step;
+    latest_sum_ = Sum(step);
+  }
   ++counts_[slot].asked;
-  if (was_answered_in_time) ++counts_[slot].answered;
+  ++latest_sum_.asked;
+  if (!was_answered_in_time) return;
+  ++counts_[slot].answered;
+  ++latest_sum_.answered;
 }
 
 BudgetCounts BudgetAccount::Counts(Instant now) const {
   const std::int64_t step = StepOf(now);
+  return step == latest_step_ ? latest_sum_ : Sum(step);
+}
+
+BudgetCounts BudgetAccount::Sum(std::int64_t step) const {
   BudgetCounts sum;
   for (std::size_t i = 0; i < kSteps; ++i) {
     if (steps_[i] < 0 || steps_[i] <= step - static_cast<std::int64_t>(kSteps))
--- a/libs/routing/src/router.cc
+++ b/libs/routing/src/router.cc
@@ -287,7 +287,7 @@
   const auto found = pools_.find(pool_id);
   if (found == pools_.end()) return;
   const Pool& pool = found->second;
-  while (true) {
+  while (HasWaiting(pool)) {
     const auto chosen = ChooseQueueToServe(Views(pool), now_);
     if (!chosen) return;
     Queue& queue = queues_.at(pool.queues[*chosen]);
@@ -363,9 +363,7 @@
   if (queue == nullptr || now_ >= permit_until_) return;
   Pool& pool = pools_.at(queue->pool);
   if (IsShedding(pool)) return;
-  for (const QueueView& view : Views(pool)) {
-    if (view.waiting > 0) return;
-  }
+  if (HasWaiting(pool)) return;
   std::vector<Candidate> candidates = endpoints_.Candidates(queue->pool, now_);
   std::erase_if(candidates, [&](const Candidate& it) {
     return endpoints_.VmAt(queue->pool, it.index) == request.last_vm;
@@ -454,6 +452,12 @@
   return it == queues_.end() ? nullptr : &it->second;
 }
 
+bool Router::HasWaiting(const Pool& pool) const {
+  return std::any_of(
+      pool.queues.begin(), pool.queues.end(),
+      [this](const QueueId& id) { return !queues_.at(id).waiting.empty(); });
+}
+
 std::vector<QueueView> Router::Views(const Pool& pool) const {
   std::vector<QueueView> views;
   views.reserve(pool.queues.size());
--- /dev/null
+++ b/tools/load/load_run.cc
@@ -0,0 +1,91 @@
+#include "load_run.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelomill::load {
+namespace {
+
+CallResult Judge(const HttpResult& result, const std::string& id) {
+  if (result.error) return CallResult::kBroken;
+  const std::string_view outcome = result.response.header("Pomelomill-Outcome");
+  if (outcome == "not-run") return CallResult::kNotRun;
+  if (outcome == "unknown") return CallResult::kUnknown;
+  if (result.response.status != 200) return CallResult::kAnsweredOther;
+  return result.response.body == "run " + id + "\n" ? CallResult::kAnsweredWhole
+                                                    : CallResult::kWrong;
+}
+
+}  // namespace
+
+LoadRun::LoadRun(HttpClient& client, TimerService& timers, LoadOptions options)
+    : client_(client),
+      timers_(timers),
+      options_(std::move(options)),
+      random_(options_.seed) {}
+
+void LoadRun::Start(std::function<void()> done) {
+  done_ = std::move(done);
+  start_ = timers_.Now();
+  sending_ = options_.queues.size();
+  for (std::size_t i = 0; i < options_.queues.size(); ++i) ScheduleNext(i);
+}
+
+double LoadRun::RateOf(std::size_t queue) const {
+  const auto turn =
+      static_cast<std::size_t>((timers_.Now() - start_) / options_.peak);
+  const std::size_t n = options_.queues.size();
+  const double mean = options_.queues[queue].mean_rate;
+  if (turn % n == queue) return mean * options_.peak_factor;
+  if (turn > 0 && (turn - 1) % n == queue) return mean * options_.rest_factor;
+  return mean;
+}
+
+void LoadRun::ScheduleNext(std::size_t queue) {
+  // Gaps are cut at a tenth of a peak, so that a low rate does not reach into
+  // the queue's own peak.
+  const Duration longest = options_.peak / 10;
+  const double s = random_.Exponential(1 / RateOf(queue));
+  const bool is_cut = s > ToSeconds(longest);
+  const Duration gap =
+      is_cut ? longest : Duration(static_cast<std::int64_t>(s * 1e9));
+  timers_.ScheduleAfter(gap, [this, queue, is_cut] {
+    if (timers_.Now() - start_ >= options_.duration) {
+      --sending_;
+      return CheckDone();
+    }
+    if (!is_cut) Call(queue);
+    ScheduleNext(queue);
+  });
+}
+
+void LoadRun::Call(std::size_t queue) {
+  const QueueLoad& load = options_.queues[queue];
+  const std::string id = options_.prefix + std::to_string(next_id_++);
+  HttpRequest request;
+  request.method = "POST";
+  request.url = options_.targets[next_id_ % options_.targets.size()] + "/" +
+                load.queue + "/" + id;
+  request.headers.push_back({"X-Request-Id", id});
+  request.body = "work";
+  request.timeout = options_.timeout;
+  // The generator itself must not repeat an order.
+  request.use_fresh_connection = load.is_order;
+  calls_[id] = {.queue = load.queue, .is_order = load.is_order};
+  ++open_;
+  const Instant sent_at = timers_.Now();
+  client_.Send(std::move(request),
+               [this, id, sent_at](const HttpResult& result) {
+                 CallRecord& record = calls_.at(id);
+                 record.result = Judge(result, id);
+                 record.latency = timers_.Now() - sent_at;
+                 --open_;
+                 CheckDone();
+               });
+}
+
+void LoadRun::CheckDone() {
+  if (sending_ == 0 && open_ == 0 && done_) std::exchange(done_, {})();
+}
+
+}  // namespace pomelomill::load
--- /dev/null
+++ b/tools/load/load_run.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "pomelomill/base.h"
+#include "pomelomill/http.h"
+
+namespace pomelomill::load {
+
+/// One queue that the generator sends to.
+struct QueueLoad {
+  /// "SERVICE/QUEUE".
+  std::string queue;
+  double mean_rate = 10;
+  /// True for requests that must run at most once.
+  bool is_order = false;
+};
+
+struct LoadOptions {
+  /// "http://ip:port" of the entries; requests take turns.
+  std::vector<std::string> targets;
+  std::vector<QueueLoad> queues;
+  Duration duration = std::chrono::seconds(30);
+  /// Each queue in turn has its peak for this time.
+  Duration peak = std::chrono::seconds(5);
+  /// Rates at the peak and in the turn after it, as multiples of the mean.
+  double peak_factor = 5;
+  double rest_factor = 0.05;
+  Duration timeout = std::chrono::seconds(10);
+  std::uint64_t seed = 1;
+  /// Prefix of request ids; must differ between generators of one run.
+  std::string prefix = "r";
+};
+
+enum class CallResult {
+  /// 200 with the body of this request.
+  kAnsweredWhole,
+  /// Another complete response of an endpoint.
+  kAnsweredOther,
+  /// A response that belongs to another request.
+  kWrong,
+  kNotRun,
+  kUnknown,
+  /// No complete response from the entry.
+  kBroken,
+};
+
+struct CallRecord {
+  std::string queue;
+  bool is_order = false;
+  CallResult result = CallResult::kBroken;
+  Duration latency{};
+};
+
+/// Sends requests with exponential gaps, per queue, with peaks in turn, and
+/// records how each ended. Open loop: a slow entry does not slow it down.
+class LoadRun {
+ public:
+  LoadRun(HttpClient& client, TimerService& timers, LoadOptions options);
+
+  /// `done` runs once all responses are there.
+  void Start(std::function<void()> done);
+
+  /// By request id.
+  const std::map<std::string, CallRecord>& calls() const { return calls_; }
+  std::size_t open() const { return open_; }
+
+ private:
+  void ScheduleNext(std::size_t queue);
+  double RateOf(std::size_t queue) const;
+  void Call(std::size_t queue);
+  void CheckDone();
+
+  HttpClient& client_;
+  TimerService& timers_;
+  LoadOptions options_;
+  Random random_;
+  std::function<void()> done_;
+  Instant start_{};
+  std::uint64_t next_id_ = 1;
+  std::size_t open_ = 0;
+  std::size_t sending_ = 0;
+  std::map<std::string, CallRecord> calls_;
+};
+
+}  // namespace pomelomill::load
