Leave room for the service time of requests that waited in a peak

The peak need let requests wait until their deadline less one mean service time; a service time that varies then misses the deadline in a third of the cases. Change: a request may wait only so long that the tail of its service time stays within the base share of the budget.

--- a/libs/planner/src/pool_need.cc
+++ b/libs/planner/src/pool_need.cc
@@ -20,6 +20,25 @@
       0.0, ToSeconds(queue.declaration->deadline - queue.demand.service_time));
 }
 
+/// Seconds that a request may wait in a peak. Requests that wait this long
+/// still need their service time, which varies: as an exponential time it
+/// exceeds k means with the probability exp(-k). The share of requests that
+/// arrive in peaks, times that probability, stays within the base share of the
+/// budget.
+double PeakSlackSeconds(const PooledQueue& queue, const NeedOptions& options) {
+  const double interval = ToSeconds(queue.demand.peak_interval);
+  const double in_peaks =
+      interval <= 0
+          ? 1.0
+          : std::min(1.0, queue.demand.peak_factor *
+                              ToSeconds(queue.demand.peak_duration) / interval);
+  const double allowed =
+      options.base_budget_share * (1 - queue.declaration->availability);
+  const double means = std::max(1.0, std::log(in_peaks / allowed));
+  return std::max(0.0, ToSeconds(queue.declaration->deadline) -
+                           means * ToSeconds(queue.demand.service_time));
+}
+
 std::uint32_t VmsFor(double slots, std::uint32_t slots_per_vm) {
   const double per_vm = std::max<std::uint32_t>(1, slots_per_vm);
   return static_cast<std::uint32_t>(std::ceil(slots / per_vm - 1e-9));
@@ -38,7 +57,7 @@
 /// slot-seconds.
 double PeakWork(const PooledQueue& queue, double load, double t,
                 const NeedOptions& options) {
-  const double u = std::max(0.0, t - SlackSeconds(queue));
+  const double u = std::max(0.0, t - PeakSlackSeconds(queue, options));
   const double duration = ToSeconds(queue.demand.peak_duration);
   return load * (queue.demand.peak_factor * std::min(u, duration) +
                  options.trough_factor * std::max(0.0, u - duration));
@@ -54,13 +73,15 @@
   // an end of the peak shifted by some queue's slack.
   double slots = 0;
   for (const PooledQueue& edge : queues) {
-    const double t = duration + SlackSeconds(edge);
+    const double t = duration + PeakSlackSeconds(edge, options);
     if (t <= 0) continue;
     double work = -allowed;
     for (std::size_t i = 0; i < queues.size(); ++i) {
       const double load = LoadSlots(queues[i], options.demand_scale);
-      work += i == peaking ? PeakWork(queues[i], load, t, options)
-                           : load * std::max(0.0, t - SlackSeconds(queues[i]));
+      work +=
+          i == peaking
+              ? PeakWork(queues[i], load, t, options)
+              : load * std::max(0.0, t - PeakSlackSeconds(queues[i], options));
     }
     slots = std::max(slots, work / t);
   }
