--- /dev/null
+++ b/libs/control/include/pomelomill/control/control_error.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <system_error>
+
+namespace pomelomill {
+
+enum class ControlError {
+  /// Another entry has taken over the region.
+  kSuperseded = 1,
+  kStoreFailed,
+  kBadRegionState,
+  kNotHolder,
+  kUnknownVm,
+};
+
+const std::error_category& ControlCategory();
+
+inline std::error_code make_error_code(ControlError e) {
+  return {static_cast<int>(e), ControlCategory()};
+}
+
+}  // namespace pomelomill
+
+template <>
+struct std::is_error_code_enum<pomelomill::ControlError> : std::true_type {};
