--- a/libs/routing/include/pomelomill/routing/router.h
+++ b/libs/routing/include/pomelomill/routing/router.h
@@ -43,6 +43,10 @@
 struct QueueStatus {
   QueueId queue;
   std::size_t waiting = 0;
+  /// Requests since the start of the entry.
+  std::uint64_t arrived = 0;
+  /// Mean time that one attempt takes.
+  Duration service_time{};
   BudgetCounts counts;
   double budget_left = 1;
 };
@@ -110,6 +114,7 @@
     QueueDeclaration declaration;
     PoolId pool;
     DeadlineQueue waiting;
+    std::uint64_t arrived = 0;
     BudgetAccount account;
     LatencyEstimate latency;
   };
--- a/libs/routing/src/router.cc
+++ b/libs/routing/src/router.cc
@@ -47,6 +47,7 @@
   if (queue == nullptr) {
     return Finish(event.request, Outcome::kNotRun, OutcomeReason::kNoSuchQueue);
   }
+  ++queue->arrived;
   if (!TakeQuota(event.team, event.request)) return;
   if (now_ >= permit_until_) {
     return Finish(event.request, Outcome::kNotRun,
@@ -491,6 +492,8 @@
   for (const auto& [id, queue] : queues_) {
     status.push_back({.queue = id,
                       .waiting = queue.waiting.size(),
+                      .arrived = queue.arrived,
+                      .service_time = queue.latency.mean(),
                       .counts = queue.account.Counts(now),
                       .budget_left = queue.account.Left(now)});
   }
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Configures and builds one preset: scripts/build.sh [release|asan|tsan] [target...]
+# Configures and builds one preset: scripts/build.sh [release|dev|asan|tsan] [target...]
 # JOBS limits the number of parallel compilers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
