Add the serve command

Cause: nothing ran as a process yet. Change: ServeProcess wires EntryNode, TrafficServer, gRPC and the HTTP clients on a control and a traffic thread; status, explain, ready and drain pages on the admin address; SIGTERM ends gracefully, a second one at once. Conclusion: pomelomill serve SETTINGS starts one entry.

--- a/app/command_line.cc
+++ b/app/command_line.cc
@@ -11,6 +11,7 @@
 #include "drain_command.h"
 #include "exit_code.h"
 #include "explain_command.h"
+#include "serve_command.h"
 #include "status_command.h"
 
 namespace pomelomill {
@@ -20,6 +21,7 @@
     "pomelomill manages the capacity and maintenance of a fleet.\n"
     "\n"
     "Commands:\n"
+    "  serve SETTINGS             runs one entry until SIGTERM\n"
     "  check FILE                 checks a file of declarations\n"
     "  apply FILE --store URL     puts a file of declarations in force\n"
     "  status --entry HOST:PORT   prints the state of an entry\n"
@@ -79,6 +81,11 @@
   return scheme + Address(text.substr(scheme.size()), name);
 }
 
+int Serve(const Parsed&, const std::vector<std::string>& names, std::ostream&,
+          std::ostream&) {
+  return RunServe(names[0]);
+}
+
 int Check(const Parsed& parsed, const std::vector<std::string>& names,
           std::ostream& out, std::ostream& err) {
   return RunCheck(
@@ -158,6 +165,9 @@
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
+      {"serve",
+       {"SETTINGS", 1, "  pomelomill serve examples/entry-lombardy-a.ini\n",
+        [](cxxopts::Options&) {}, Serve}},
       {"check",
        {"FILE", 1,
         "  pomelomill check examples/banderuole.ini\n"
--- /dev/null
+++ b/app/serve_process.cc
@@ -0,0 +1,354 @@
+#include "serve_process.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <ctime>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "pomelomill/base/asio_timer_service.h"
+#include "pomelomill/control.h"
+#include "pomelomill/entry.h"
+#include "pomelomill/http.h"
+#include "pomelomill/peer.h"
+#include "pomelomill/platform.h"
+#include "pomelomill/store.h"
+#include "pomelomill/traffic.h"
+#include "status_pages.h"
+
+namespace pomelomill {
+namespace {
+
+constexpr Duration kHealthTimeout = std::chrono::seconds(1);
+
+std::string Host(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+std::uint16_t Port(const std::string& address) {
+  return static_cast<std::uint16_t>(
+      std::stoul(address.substr(address.rfind(':') + 1)));
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+IncarnationId NewIncarnation(const EntryId& entry, std::uint64_t seed) {
+  std::string hex(16, '0');
+  for (std::size_t i = 0; i < hex.size(); ++i)
+    hex[i] = "0123456789abcdef"[(seed >> (4 * i)) & 15];
+  return IncarnationId(entry.value() + "." + hex);
+}
+
+std::int64_t WallClockS() { return std::time(nullptr); }
+
+std::int64_t UtcOffsetS() {
+  const std::time_t now = std::time(nullptr);
+  std::tm local{};
+  localtime_r(&now, &local);
+  return local.tm_gmtoff;
+}
+
+Result<EndpointHealth> HealthOf(const HttpResult& result) {
+  if (result.error) return Unexpected(result.error);
+  const auto json = nlohmann::json::parse(result.response.body, nullptr, false);
+  if (result.response.status != 200 || !json.is_object())
+    return Unexpected(HttpError::kFailed);
+  EndpointHealth health;
+  const auto number = [&](const char* name) -> std::uint64_t {
+    const auto it = json.find(name);
+    return it != json.end() && it->is_number_unsigned()
+               ? it->get<std::uint64_t>()
+               : 0;
+  };
+  health.generation = Generation(number("generation"));
+  health.active = static_cast<std::uint32_t>(number("active"));
+  const auto draining = json.find("draining");
+  health.is_draining =
+      draining != json.end() && draining->is_boolean() && draining->get<bool>();
+  return health;
+}
+
+/// Value of one parameter of a request target's query; empty when absent.
+std::string QueryValue(const std::string& target, const std::string& name) {
+  const auto query = target.find('?');
+  if (query == std::string::npos) return "";
+  std::size_t at = query + 1;
+  while (at < target.size()) {
+    const auto end = std::min(target.find('&', at), target.size());
+    const std::string item = target.substr(at, end - at);
+    if (item.starts_with(name + "=")) return item.substr(name.size() + 1);
+    at = end + 1;
+  }
+  return "";
+}
+
+std::vector<QueueTotals> TotalsOf(const TrafficStatus& status) {
+  std::vector<QueueTotals> totals;
+  for (const QueueStatus& it : status.queues) {
+    totals.push_back({.queue = it.queue,
+                      .arrived = it.arrived,
+                      .service_time = it.service_time,
+                      .asked = it.counts.asked,
+                      .missed = it.counts.asked - it.counts.answered});
+  }
+  return totals;
+}
+
+}  // namespace
+
+class ServeProcess::Impl {
+ public:
+  explicit Impl(ServeSettings settings)
+      : settings_(std::move(settings)),
+        seed_(RandomSeed()),
+        incarnation_(NewIncarnation(settings_.entry, seed_)),
+        control_timers_(control_),
+        traffic_timers_(traffic_),
+        http_(control_),
+        signals_(control_, SIGTERM, SIGINT),
+        peer_client_(ControlPoster()),
+        traffic_server_(traffic_, traffic_timers_, MakeTrafficOptions(),
+                        MakeTrafficHooks()),
+        node_(MakeNodeSettings(), MakeStore(), MakePlatform(), control_timers_,
+              MakeNodeHooks(), &decisions_),
+        peer_server_(ControlPoster(), MakePeerHandlers()) {}
+
+  int Run() {
+    if (!peer_server_.Start(settings_.peer_address)) {
+      std::cerr << "cannot listen on " << settings_.peer_address << "\n";
+      return 1;
+    }
+    if (!traffic_server_.Start()) {
+      std::cerr << "cannot listen on " << settings_.caller_address << " or "
+                << settings_.admin_address << "\n";
+      return 1;
+    }
+    signals_.async_wait([this](std::error_code ec, int) {
+      if (!ec) BeginStop();
+    });
+    auto traffic_guard = asio::make_work_guard(traffic_);
+    std::thread traffic_thread([this] { traffic_.run(); });
+    node_.Start();
+    control_.run();
+    traffic_guard.reset();
+    traffic_.stop();
+    traffic_thread.join();
+    return 0;
+  }
+
+ private:
+  Poster ControlPoster() {
+    return
+        [this](std::function<void()> f) { asio::post(control_, std::move(f)); };
+  }
+
+  StoreClient MakeStore() {
+    return WithBreaker(HttpStoreClient(http_, settings_.store_url),
+                       control_timers_, std::make_shared<CircuitBreaker>());
+  }
+
+  PlatformClient MakePlatform() {
+    return MakeHttpPlatformClient(http_, settings_.platform_url);
+  }
+
+  TrafficOptions MakeTrafficOptions() const {
+    TrafficOptions options;
+    options.router.entry = settings_.entry;
+    options.router.incarnation = incarnation_;
+    options.router.seed = seed_;
+    options.callers.address = Host(settings_.caller_address);
+    options.callers.port = Port(settings_.caller_address);
+    options.callers.max_connections = settings_.limits.connections;
+    options.callers.max_header_bytes = settings_.limits.header_bytes;
+    options.callers.max_body_bytes = settings_.limits.body_bytes;
+    options.admin.address = Host(settings_.admin_address);
+    options.admin.port = Port(settings_.admin_address);
+    return options;
+  }
+
+  TrafficHooks MakeTrafficHooks() {
+    return {.on_report =
+                [this](LoadReport load) {
+                  TrafficReport report{
+                      .load = std::move(load),
+                      .queues = TotalsOf(traffic_server_.status())};
+                  asio::post(control_, [this, report = std::move(report)] {
+                    node_.TrafficReported(report);
+                  });
+                },
+            .on_admin =
+                [this](IncomingRequest request, RespondHook respond) {
+                  OnAdmin(std::move(request), std::move(respond));
+                }};
+  }
+
+  EntryNodeSettings MakeNodeSettings() const {
+    EntryNodeSettings settings;
+    settings.entry = settings_.entry;
+    settings.incarnation = incarnation_;
+    settings.region = settings_.region;
+    settings.peer_address = settings_.peer_address;
+    settings.seeds = settings_.peers;
+    settings.membership.lease_ttl = settings_.entry_lease;
+    settings.seed = seed_;
+    return settings;
+  }
+
+  EntryNodeHooks MakeNodeHooks() {
+    return {
+        .exchange =
+            [this](const std::string& address, const ExchangeMessage& message,
+                   Duration timeout, PeerCallback<ExchangeMessage> done) {
+              peer_client_.Exchange(address, message, timeout, std::move(done));
+            },
+        .fetch_state =
+            [this](const std::string& address, const FetchStateRequest& request,
+                   Duration timeout, PeerCallback<FetchStateReply> done) {
+              peer_client_.FetchState(address, request, timeout,
+                                      std::move(done));
+            },
+        .check_health =
+            [this](const VmId&, const std::string& address,
+                   std::function<void(Result<EndpointHealth>)> done) {
+              http_.Send({.url = "http://" + address + "/healthz",
+                          .timeout = kHealthTimeout},
+                         [done = std::move(done)](const HttpResult& result) {
+                           done(HealthOf(result));
+                         });
+            },
+        .wall_clock_s = WallClockS,
+        .utc_offset_s = UtcOffsetS,
+        .table_changed =
+            [this](std::shared_ptr<const RegionState> state, Version version) {
+              traffic_server_.Post(
+                  EndpointTableChanged{std::move(state), version});
+            },
+        .declarations_changed =
+            [this](std::shared_ptr<const Declarations> declarations) {
+              traffic_server_.Post(
+                  DeclarationsChanged{std::move(declarations)});
+            },
+        .permit_changed =
+            [this](Instant valid_until) {
+              traffic_server_.Post(SendPermitChanged{valid_until});
+            },
+        .peer_load_received =
+            [this](const LoadReport& report) {
+              traffic_server_.Post(PeerLoadReceived{report});
+            },
+        .endpoint_leaving =
+            [this](const EndpointLeaving& leaving) {
+              traffic_server_.Post(leaving);
+            }};
+  }
+
+  PeerHandlers MakePeerHandlers() {
+    PeerHandlers handlers;
+    handlers.exchange = [this](const ExchangeMessage& message,
+                               const PeerCallback<ExchangeMessage>& done) {
+      node_.HandleExchange(message, done);
+    };
+    handlers.fetch_state = [this](const FetchStateRequest& request,
+                                  const PeerCallback<FetchStateReply>& done) {
+      done(node_.HandleFetchState(request));
+    };
+    return handlers;
+  }
+
+  // Admin pages. The request arrives on the traffic thread, the node answers
+  // on the control thread, and the response goes back.
+
+  void OnAdmin(IncomingRequest request, RespondHook respond) {
+    TrafficStatus traffic = traffic_server_.status();
+    asio::post(
+        control_, [this, request = std::move(request),
+                   respond = std::move(respond), traffic = std::move(traffic)] {
+          OutgoingResponse response = Answer(request, traffic);
+          asio::post(traffic_, [respond, response = std::move(response)] {
+            respond(response);
+          });
+        });
+  }
+
+  OutgoingResponse Answer(const IncomingRequest& request,
+                          const TrafficStatus& traffic) {
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (path == "/-/drain") return AnswerDrain(request);
+    if (request.method != "GET")
+      return ErrorResponse(405, "only GET is allowed here");
+    if (path == "/-/status") return Json(StatusJson(node_, traffic));
+    if (path == "/-/explain")
+      return Json(ExplainJson(decisions_, QueryValue(request.target, "kind"),
+                              QueryValue(request.target, "name")));
+    if (path == "/-/ready") {
+      if (node_.is_ready()) return Json("{\"ready\":true}");
+      return ErrorResponse(503, "this entry is not ready");
+    }
+    return ErrorResponse(404, "no such page");
+  }
+
+  OutgoingResponse AnswerDrain(const IncomingRequest& request) {
+    if (request.method != "POST")
+      return ErrorResponse(405, "only POST is allowed here");
+    const Status status =
+        node_.controller().DrainVm(VmId(QueryValue(request.target, "vm")));
+    if (status) return Json("{\"accepted\":true}");
+    const int code = status.error() == ControlError::kNotHolder ? 409 : 404;
+    return ErrorResponse(code, status.error().message());
+  }
+
+  static OutgoingResponse Json(std::string body) {
+    return {.headers = {{"Content-Type", "application/json"}},
+            .body = std::move(body)};
+  }
+
+  // Graceful stop.
+
+  void BeginStop() {
+    node_.BeginLeaving();
+    // A second signal ends the process without waiting for requests.
+    signals_.async_wait([this](std::error_code ec, int) {
+      if (!ec) control_.stop();
+    });
+    asio::post(traffic_, [this] {
+      traffic_server_.Drain([this] {
+        asio::post(control_,
+                   [this] { node_.Leave([this] { control_.stop(); }); });
+      });
+    });
+  }
+
+  ServeSettings settings_;
+  std::uint64_t seed_;
+  IncarnationId incarnation_;
+  asio::io_context control_;
+  asio::io_context traffic_;
+  AsioTimerService control_timers_;
+  AsioTimerService traffic_timers_;
+  HttpClient http_;
+  asio::signal_set signals_;
+  DecisionLog decisions_;
+  PeerClient peer_client_;
+  TrafficServer traffic_server_;
+  EntryNode node_;
+  PeerServer peer_server_;
+};
+
+ServeProcess::ServeProcess(ServeSettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+
+ServeProcess::~ServeProcess() = default;
+
+int ServeProcess::Run() { return impl_->Run(); }
+
+}  // namespace pomelomill
