--- a/libs/jobs/test/job_world.cc
+++ b/libs/jobs/test/job_world.cc
@@ -190,8 +190,8 @@
   }
 }
 
-void JobWorld::Call(std::uint32_t worker, std::function<bool()> effect,
-                    std::function<void(CallOutcome)> done) {
+void JobWorld::Call(std::uint32_t worker, const std::function<bool()>& effect,
+                    const std::function<void(CallOutcome)>& done) {
   const std::uint64_t message = messages_++;
   const bool is_lost = (loses_message && loses_message(message)) ||
                        random_.Chance(settings_.loss);
--- a/libs/jobs/test/job_world.h
+++ b/libs/jobs/test/job_world.h
@@ -139,8 +139,8 @@
   void Act(const JobAction& action);
   /// Sends one call; `effect` runs at the worker and returns whether it was
   /// accepted. The response, or its loss, goes to `done`.
-  void Call(std::uint32_t worker, std::function<bool()> effect,
-            std::function<void(CallOutcome)> done);
+  void Call(std::uint32_t worker, const std::function<bool()>& effect,
+            const std::function<void(CallOutcome)>& done);
   bool StartRun(std::uint32_t worker, const StartTask& start);
   bool Operate(std::uint32_t worker, const TaskId& task, TaskOperation op);
   void ScheduleEnd(std::uint32_t worker, const TaskId& task);
