Remember accepted applies, so that a late repeat changes nothing

Cause: an apply id was compared with the current record only. A repeat of an apply that a later one had replaced was accepted again and undid the later revision.

Change: ConfigRecord lists the 64 applies before it with revision and text hash. apply reports a listed id as accepted, and also looks for its id when the outcome of its write stays unknown.

--- a/app/apply_command.cc
+++ b/app/apply_command.cc
@@ -75,7 +75,7 @@
     record_.writer = record_.apply_id.value() + '.' + RandomText();
     record_.sequence = 1;
 
-    const Result<StoreItem> current = Read();
+    const Result<StoreItem> current = Read(options_.timeout);
     if (!current && current.error() != StoreError::kNotFound) {
       err_ << "apply: cannot read the current configuration: "
            << current.error().message() << "; nothing was written\n";
@@ -85,9 +85,9 @@
   }
 
  private:
-  Result<StoreItem> Read() {
+  Result<StoreItem> Read(Duration timeout) {
     return Wait<StoreItem>([&](StoreCallback<StoreItem> done) {
-      client_.get(kConfigKey, options_.timeout, std::move(done));
+      client_.get(kConfigKey, timeout, std::move(done));
     });
   }
 
@@ -108,23 +108,31 @@
            << "; nothing was written\n";
       return kExitFailed;
     }
-    if (current->apply_id == record_.apply_id) return Repeated(*current);
+    if (const auto earlier = FindOwn(*current)) return Repeated(*earlier);
     if (options_.base_revision &&
         Revision(*options_.base_revision) != current->revision)
       return Conflict(*current, std::nullopt);
     record_.revision = current->revision.Next();
+    record_.earlier = AppliesUpTo(*current);
     return Write(item.version, *current);
   }
 
-  /// The current configuration carries the apply id of this command.
-  int Repeated(const ConfigRecord& current) {
-    if (current.text != record_.text) {
+  /// The apply with this command's id, when it was accepted before.
+  std::optional<AcceptedApply> FindOwn(const ConfigRecord& current) const {
+    for (const AcceptedApply& it : AppliesUpTo(current)) {
+      if (it.apply_id == record_.apply_id) return it;
+    }
+    return std::nullopt;
+  }
+
+  int Repeated(const AcceptedApply& earlier) {
+    if (earlier.text_hash != StableHash(record_.text)) {
       err_ << "apply: the apply id " << record_.apply_id
            << " belongs to another file, accepted as revision "
-           << current.revision << "; nothing was written\n";
+           << earlier.revision << "; nothing was written\n";
       return kExitConflict;
     }
-    return Accepted(current, true);
+    return Accepted(earlier.revision, true);
   }
 
   int Write(Version expect, const std::optional<ConfigRecord>& base) {
@@ -140,14 +148,20 @@
         Wait<Version>([&](StoreCallback<Version> done) {
           writer.Write(write, std::move(done));
         });
-    if (result) return Accepted(record_, false);
+    if (result) return Accepted(record_.revision, false);
     if (result.error() == StoreError::kConflict) return Lost(base);
     if (result.error() == StoreError::kOutcomeUnknown) {
+      // A later revision that covers this write remembers its apply id.
+      const auto item = Read(writer_options.call_timeout);
+      const auto current =
+          item ? ReadConfigRecord(item->value) : Unexpected(item.error());
+      const auto own = current ? FindOwn(*current) : std::nullopt;
+      if (own) return Repeated(*own);
       err_ << "apply: the outcome is unknown, the store did not confirm "
               "revision "
            << record_.revision << "; repeat with --apply-id "
            << record_.apply_id << '\n';
-      PrintJson("unknown", record_);
+      PrintJson("unknown", record_.revision);
       return kExitUnknown;
     }
     err_ << "apply: " << result.error().message() << "; nothing was written\n";
@@ -155,7 +169,7 @@
   }
 
   int Lost(const std::optional<ConfigRecord>& base) {
-    const auto item = Read();
+    const auto item = Read(options_.timeout);
     const auto winner =
         item ? ReadConfigRecord(item->value) : Unexpected(item.error());
     if (!winner) {
@@ -163,7 +177,7 @@
               "written\n";
       return kExitConflict;
     }
-    if (winner->apply_id == record_.apply_id) return Repeated(*winner);
+    if (const auto own = FindOwn(*winner)) return Repeated(*own);
     return Conflict(*winner, base);
   }
 
@@ -208,21 +222,21 @@
     });
   }
 
-  int Accepted(const ConfigRecord& record, bool is_repeat) {
+  int Accepted(Revision revision, bool is_repeat) {
     if (options_.is_json) {
-      PrintJson("accepted", record);
+      PrintJson("accepted", revision);
     } else {
       out_ << (is_repeat ? "already accepted" : "accepted") << " as revision "
-           << record.revision << ", apply id " << record.apply_id << '\n';
+           << revision << ", apply id " << record_.apply_id << '\n';
     }
-    return options_.waits ? WaitInForce(record.revision) : kExitOk;
+    return options_.waits ? WaitInForce(revision) : kExitOk;
   }
 
-  void PrintJson(const char* outcome, const ConfigRecord& record) {
+  void PrintJson(const char* outcome, Revision revision) {
     if (!options_.is_json) return;
     out_ << Json{{"outcome", outcome},
-                 {"revision", record.revision.value()},
-                 {"apply_id", record.apply_id.value()}}
+                 {"revision", revision.value()},
+                 {"apply_id", record_.apply_id.value()}}
                 .dump()
          << '\n';
   }
--- a/app/test/commands_test.cc
+++ b/app/test/commands_test.cc
@@ -165,6 +165,11 @@
   CHECK(again.out.find("already accepted as revision 2") != std::string::npos);
   CHECK(store.Apply({kBanderuole, "--apply-id", "b"}).code == kExitConflict);
   CHECK(store.Current().revision == Revision(2));
+  // A repeat that arrives after a later apply must not undo that one.
+  const Outcome late = store.Apply({kBanderuole, "--apply-id", "a"});
+  CHECK(late.code == kExitOk);
+  CHECK(late.out.find("already accepted as revision 1") != std::string::npos);
+  CHECK(store.Current().revision == Revision(2));
   ConfigState state;
   CHECK(state.Offer(store.Current()).value());
 }
--- a/libs/config/include/pomelomill/config/config_record.h
+++ b/libs/config/include/pomelomill/config/config_record.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "pomelomill/base/ids.h"
 #include "pomelomill/base/result.h"
@@ -13,6 +15,21 @@
 /// Key of the accepted configuration in the store.
 inline constexpr const char* kConfigKey = "config/current";
 
+/// One apply that was accepted before.
+struct AcceptedApply {
+  ApplyId apply_id;
+  Revision revision;
+  /// StableHash of the text.
+  std::uint64_t text_hash = 0;
+
+  bool operator==(const AcceptedApply&) const = default;
+};
+
+/// Applies that a record remembers. A repeat of one that is no longer listed
+/// would be accepted again and undo later revisions; 64 is an hour of changes
+/// at 1,500 a day.
+inline constexpr std::size_t kMaxRememberedApplies = 64;
+
 /// The value of `config/current`: one accepted configuration.
 struct ConfigRecord {
   /// One more than the revision that it replaces; the first is 1.
@@ -29,10 +46,16 @@
   std::string applied_at;
   /// Canonical text of the declarations.
   std::string text;
+  /// The applies before this one, latest first.
+  std::vector<AcceptedApply> earlier;
 
   bool operator==(const ConfigRecord&) const = default;
 };
 
+/// This record's own apply and the earlier ones, latest first, bounded to
+/// kMaxRememberedApplies: the `earlier` of the next record.
+std::vector<AcceptedApply> AppliesUpTo(const ConfigRecord& record);
+
 /// JSON form of a record.
 std::string ToJson(const ConfigRecord& record);
 
--- a/libs/config/test/property_test.cc
+++ b/libs/config/test/property_test.cc
@@ -129,6 +129,7 @@
   record.sequence = 9;
   record.applied_at = "2026-01-01T00:00:00Z";
   record.text = "[fleet]\nname = x\n";
+  record.earlier = {{ApplyId("a-0"), Revision(2), 0xFFFFFFFFFFFFFFFFULL}};
   const auto read = ReadConfigRecord(ToJson(record));
   REQUIRE(read);
   CHECK(*read == record);
@@ -136,6 +137,15 @@
        {"", "null", "{}", "[1]", "{\"revision\": -1}", "{\"revision\": 1}"})
     CHECK(ReadConfigRecord(bad).error() == ConfigError::kMalformedRecord);
 
+  // Guards against a list of applies that grows without bound.
+  ConfigRecord next = record;
+  for (int i = 0; i < 100; ++i) {
+    next.earlier = AppliesUpTo(next);
+    next.revision = next.revision.Next();
+  }
+  CHECK(next.earlier.size() == kMaxRememberedApplies);
+  CHECK(next.earlier.front().revision == Revision(102));
+
   ConfigState state;
   CHECK(state.Offer(record).value());
   ConfigRecord other = record;
