Make a fake endpoint follow what the platform does to its VM; fix watchers

Cause: planned stops could not be checked against the endpoints' records, and the watchers of an entry kept a reference to a store client that had been moved from, so no watch ever started.

--- a/app/status_pages.cc
+++ b/app/status_pages.cc
@@ -165,10 +165,10 @@
 }  // namespace
 
 std::string StatusJson(const EntryNode& node, const TrafficStatus& traffic) {
-  Json json = {{"entry", EntryJson(node.status())},
-               {"open_requests", traffic.open_requests},
-               {"open_connections", traffic.open_connections},
-               {"queues", QueuesJson(traffic)}};
+  Json json = EntryJson(node.status());
+  json["open_requests"] = traffic.open_requests;
+  json["open_connections"] = traffic.open_connections;
+  json["queues"] = QueuesJson(traffic);
   if (const auto state = node.region_state()) {
     json["region"] = {{"region", state->region.value()},
                       {"epoch", state->epoch.value()},
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -46,10 +46,10 @@
         registrations_(settings_.membership),
         loop_(timers, table_, permit_, book_, MakeExchangeHooks(),
               settings_.seed),
-        config_watcher_(store, timers, kConfigKey,
+        config_watcher_(store_, timers, kConfigKey,
                         [this](const StoreItem& it) { OfferConfig(it.value); },
                         {.wait = settings_.watch_wait}),
-        state_watcher_(store, timers, RegionStateKey(settings_.region),
+        state_watcher_(store_, timers, RegionStateKey(settings_.region),
                        [this](const StoreItem& it) {
                          OfferStateText(it.value, it.version,
                                         StateSource::kStore);
@@ -267,18 +267,23 @@
 
   // Membership.
 
+  /// The holder of the control lease lists often, to see which leases have
+  /// lapsed; the others only to learn addresses.
   void ListEntries() {
+    After(settings_.holder_list_interval, &Impl::ListEntries);
+    const Instant now = timers_.Now();
+    if (now < next_listing_ && !controller_.is_holder()) return;
+    next_listing_ = now + settings_.list_interval;
     const Version known = state_.number();
-    const Instant sent = timers_.Now();
     store_.range(
         EntryKeyPrefix(settings_.region), settings_.store_timeout,
         Guard<std::vector<StoreItem>>(
-            [this, known, sent](const Result<std::vector<StoreItem>>& listing) {
-              if (listing) Listed(MembersOf(*listing), known, sent);
-              const bool is_soon = controller_.is_holder() || !listing;
-              After(is_soon ? settings_.holder_list_interval
-                            : settings_.list_interval,
-                    &Impl::ListEntries);
+            [this, known, now](const Result<std::vector<StoreItem>>& listing) {
+              if (listing) {
+                Listed(MembersOf(*listing), known, now);
+              } else {
+                next_listing_ = timers_.Now();
+              }
             }));
   }
 
@@ -490,6 +495,7 @@
   std::vector<EntryShare> seen_shares_;
   Version shares_changed_at_;
   Instant permit_sent_{};
+  Instant next_listing_{};
 
   KeyWatcher config_watcher_;
   KeyWatcher state_watcher_;
--- a/tools/fake_endpoint/endpoint_port.cc
+++ b/tools/fake_endpoint/endpoint_port.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 bool ParseMode(std::string_view name, Mode& mode) {
-  constexpr std::array<std::pair<std::string_view, Mode>, 7> kModes = {{
+  constexpr std::array<std::pair<std::string_view, Mode>, 8> kModes = {{
       {"normal", Mode::kNormal},
       {"slow", Mode::kSlow},
       {"failing", Mode::kFailing},
@@ -28,6 +28,7 @@
       {"close", Mode::kCloseBeforeResponse},
       {"close-reused", Mode::kCloseReused},
       {"draining", Mode::kDraining},
+      {"down", Mode::kDown},
   }};
   for (const auto& [text, value] : kModes) {
     if (text != name) continue;
@@ -78,6 +79,8 @@
                                          const std::string& id,
                                          const std::string& key,
                                          bool is_reused) {
+  if (mode_ == Mode::kDown && !target.starts_with("/-/"))
+    return {.closes = true};
   if (target == "/healthz") {
     std::ostringstream body;
     body << "{\"active\": " << active_ << ", \"slots\": " << options_.slots
@@ -131,6 +134,15 @@
     }
     return {.text = Response("200 OK", "", body.str())};
   }
+  if (method == "GET" && target == "/-/counters") {
+    std::ostringstream body;
+    body << "{\"cut\": " << cut_ << ", \"refused\": " << refused_
+         << ", \"peak\": " << peak_ << "}";
+    return {.text = Response("200 OK", "", body.str())};
+  }
+  constexpr std::string_view kAdmin = "/-/admin?";
+  if (method == "POST" && target.starts_with(kAdmin))
+    return HandlePlatform(target.substr(kAdmin.size()));
   constexpr std::string_view kMode = "/-/mode?";
   if (method == "POST" && target.starts_with(kMode) &&
       ParseMode(target.substr(kMode.size()), mode_)) {
@@ -150,4 +162,28 @@
   return {.text = Response("404 Not Found", "", "")};
 }
 
+EndpointPort::Reply EndpointPort::HandlePlatform(const std::string& query) {
+  const auto value = [&](const std::string& name) {
+    const auto at = query.find(name + "=");
+    if (at == std::string::npos) return std::string();
+    const auto begin = at + name.size() + 1;
+    return query.substr(begin, query.find('&', begin) - begin);
+  };
+  const std::string mode = value("mode");
+  if (mode == "up") {
+    mode_ = Mode::kNormal;
+    warm_at_ = timers_.Now() + options_.cold_start;
+  } else if (mode == "down") {
+    if (mode_ != Mode::kDown) cut_ += active_;
+    mode_ = Mode::kDown;
+  } else if (mode == "draining") {
+    mode_ = Mode::kDraining;
+  } else {
+    return {.text = Response("400 Bad Request", "", "")};
+  }
+  const std::string generation = value("generation");
+  if (!generation.empty()) generation_ = std::stoull(generation);
+  return {.text = Response("200 OK", "", "")};
+}
+
 }  // namespace pomelomill::fake_endpoint
--- a/tools/fake_endpoint/endpoint_port.h
+++ b/tools/fake_endpoint/endpoint_port.h
@@ -27,10 +27,12 @@
   kCloseReused,
   /// Refuses with Pomelomill-Not-Processed.
   kDraining,
+  /// The VM is off: closes every connection without reading a request.
+  kDown,
 };
 
 /// The mode with this name ("normal", "slow", "failing", "truncated", "close",
-/// "close-reused", "draining"); false when there is none.
+/// "close-reused", "draining", "down"); false when there is none.
 bool ParseMode(std::string_view name, Mode& mode);
 
 struct EndpointOptions {
@@ -56,6 +58,10 @@
 /// /-/ and a record of the requests that it has run.
 ///
 ///   POST /-/mode?NAME     switches the mode
+///   POST /-/admin?mode=M&generation=G
+///                         what the platform does to the VM: M is draining,
+///                         down (requests that still run are cut) or up
+///   GET  /-/counters      {"cut", "refused", "peak"}
 ///   POST /-/restart       raises the generation, ends draining, cold start
 ///   GET  /-/records       one line "ID KEY TARGET STATE" for each run
 ///   POST /-/clear         empties the record
@@ -88,6 +94,7 @@
  private:
   void Accept();
   Reply HandleAdmin(const std::string& method, const std::string& target);
+  Reply HandlePlatform(const std::string& query);
   Reply Refuse() const;
   Duration ServiceTime();
 
@@ -102,6 +109,8 @@
   std::uint32_t peak_ = 0;
   std::uint32_t open_connections_ = 0;
   std::uint64_t refused_ = 0;
+  /// Requests that ran when the VM went down.
+  std::uint64_t cut_ = 0;
   std::deque<RunRecord> records_;
 };
 
