Extend the demonstration and wire at-most-once keys into serve

Cause: keys were implemented in the routing core but no process used them, and the demonstration stopped once the entries were ready. Change: claims on the control thread, forwarding of issued keys over gRPC; the load generator goes on to the next entry when one accepts no connection, as the platform's load balancer does; run.sh drains a VM, replaces an entry, stops the store and reports requests cut, moves and reboots.

--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -27,6 +27,9 @@
 namespace {
 
 constexpr Duration kHealthTimeout = std::chrono::seconds(1);
+/// Longest time that a forwarded request may take; queues have deadlines of
+/// their own, which end requests sooner.
+constexpr Duration kForwardTimeout = std::chrono::minutes(10);
 
 std::string Host(const std::string& address) {
   return address.substr(0, address.rfind(':'));
@@ -119,7 +122,9 @@
         peer_client_(ControlPoster()),
         traffic_server_(traffic_, traffic_timers_, MakeTrafficOptions(),
                         MakeTrafficHooks()),
-        node_(MakeNodeSettings(), MakeStore(), MakePlatform(), control_timers_,
+        store_(MakeStore()),
+        claims_(store_, control_timers_, {.incarnation = incarnation_}),
+        node_(MakeNodeSettings(), store_, MakePlatform(), control_timers_,
               MakeNodeHooks(), &decisions_),
         peer_server_(ControlPoster(), MakePeerHandlers()) {}
 
@@ -262,9 +267,70 @@
                                   const PeerCallback<FetchStateReply>& done) {
       done(node_.HandleFetchState(request));
     };
+    handlers.run_keyed = [this](const RunKeyedRequest& request,
+                                PeerCallback<RunKeyedReply> done) {
+      RunKeyed(request, std::move(done));
+    };
     return handlers;
   }
 
+  // Requests with a key that another entry issued. They run at the issuer
+  // only; when it cannot be reached, or its answer is lost, the outcome is
+  // unknown.
+
+  void ForwardKeyed(const IncarnationId& issuer, const IncomingRequest& request,
+                    const RespondHook& respond) {
+    const std::string address = node_.PeerAddress(issuer);
+    if (address.empty()) {
+      RespondOnTraffic(respond, ResponseFor({.outcome = Outcome::kUnknown}));
+      return;
+    }
+    RunKeyedRequest keyed{.key = std::string(request.header("Idempotency-Key")),
+                          .method = request.method,
+                          .path = request.target,
+                          .deadline = kForwardTimeout,
+                          .body = request.body};
+    for (const HttpHeader& it : request.headers)
+      keyed.headers.push_back({it.name, it.value});
+    peer_client_.RunKeyed(address, keyed, kForwardTimeout,
+                          [this, respond](const Result<RunKeyedReply>& reply) {
+                            OutgoingResponse response;
+                            if (reply && reply->status != 0) {
+                              response.status = reply->status;
+                              for (const PeerHeader& it : reply->headers)
+                                response.headers.push_back({it.name, it.value});
+                              response.body = reply->body;
+                            } else {
+                              response =
+                                  ResponseFor({.outcome = Outcome::kUnknown});
+                            }
+                            RespondOnTraffic(respond, std::move(response));
+                          });
+  }
+
+  void RunKeyed(const RunKeyedRequest& keyed,
+                PeerCallback<RunKeyedReply> done) {
+    IncomingRequest request{
+        .method = keyed.method, .target = keyed.path, .body = keyed.body};
+    for (const PeerHeader& it : keyed.headers)
+      request.headers.push_back({it.name, it.value});
+    traffic_server_.RunForPeer(
+        std::move(request), [done](const OutgoingResponse& response) {
+          RunKeyedReply reply{.outcome = KeyedOutcome::kAnswered,
+                              .status = response.status,
+                              .body = response.body};
+          for (const HttpHeader& it : response.headers)
+            reply.headers.push_back({it.name, it.value});
+          done(reply);
+        });
+  }
+
+  void RespondOnTraffic(const RespondHook& respond, OutgoingResponse response) {
+    asio::post(traffic_, [respond, response = std::move(response)] {
+      respond(response);
+    });
+  }
+
   // Admin pages. The request arrives on the traffic thread, the node answers
   // on the control thread, and the response goes back.
 
@@ -340,6 +406,8 @@
   DecisionLog decisions_;
   PeerClient peer_client_;
   TrafficServer traffic_server_;
+  StoreClient store_;
+  KeyClaims claims_;
   EntryNode node_;
   PeerServer peer_server_;
 };
--- a/app/status_pages.cc
+++ b/app/status_pages.cc
@@ -166,6 +166,10 @@
 
 std::string StatusJson(const EntryNode& node, const TrafficStatus& traffic) {
   Json json = EntryJson(node.status());
+  const ControllerStats control = node.controller().stats();
+  json["moves"] = control.moves_opened;
+  json["take_overs"] = control.take_overs;
+  json["state_bytes"] = control.state_bytes;
   json["open_requests"] = traffic.open_requests;
   json["open_connections"] = traffic.open_connections;
   json["queues"] = QueuesJson(traffic);
--- a/libs/entry/include/pomelomill/entry/entry_node.h
+++ b/libs/entry/include/pomelomill/entry/entry_node.h
@@ -128,6 +128,9 @@
   const ConfigState& config() const;
   Controller& controller();
   const Controller& controller() const;
+  /// "ip:port" of a member's gRPC server; empty when it is not known or has
+  /// been replaced.
+  std::string PeerAddress(const IncarnationId& incarnation) const;
   /// Demand over all entries of the region, as last exchanged.
   std::map<QueueId, QueueDemand> demand() const;
 
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -139,6 +139,11 @@
   const ConfigState& config() const { return config_; }
   Controller& controller() { return controller_; }
 
+  std::string PeerAddress(const IncarnationId& incarnation) const {
+    const Member* member = table_.Find(incarnation);
+    return member == nullptr ? "" : member->info.address;
+  }
+
   std::map<QueueId, QueueDemand> demand() const {
     if (!config_.declarations()) return {};
     std::vector<std::vector<QueueLoad>> entries = {demand_.Loads()};
@@ -538,6 +543,9 @@
 const ConfigState& EntryNode::config() const { return impl_->config(); }
 Controller& EntryNode::controller() { return impl_->controller(); }
 const Controller& EntryNode::controller() const { return impl_->controller(); }
+std::string EntryNode::PeerAddress(const IncarnationId& incarnation) const {
+  return impl_->PeerAddress(incarnation);
+}
 std::map<QueueId, QueueDemand> EntryNode::demand() const {
   return impl_->demand();
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -37,7 +37,7 @@
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
 }
-[ -n "${KEEP:-}" ] || trap stop_all EXIT
+trap stop_all EXIT
 
 # One HTTP exchange by bash itself: the fresh machine has no HTTP command.
 http() {  # METHOD PORT TARGET
@@ -119,3 +119,76 @@
 ready() { [[ $(http GET "$1" /-/ready) == *'"ready":true'* ]]; }
 for n in 1 2 3; do wait_for 30 ready 18${n}02; done
 echo "run.sh: three entries are ready"
+
+field() {  # NAME: first value of a JSON field on standard input
+  grep -o "\"$1\":[^,}]*" | head -1 | cut -d: -f2
+}
+holder_port() {
+  local n
+  for n in 1 2 3; do
+    if [ "$(http GET 18${n}02 /-/status | field controls_region)" = true ]; then
+      echo 18${n}02
+      return
+    fi
+  done
+  return 1
+}
+
+queues=(silhouette/proof:30 gilding/preview:30 crest/sketch:40
+  metalwork/quote:40 metalwork/order:10:order administration/files:30)
+load_args=(--seconds "$seconds" --peak-seconds 5 --seed 1
+  --endpoint $first_endpoint --endpoints $vms)
+for n in 1 2 3; do load_args+=(--target http://127.0.0.1:18${n}00); done
+for q in "${queues[@]}"; do load_args+=(--queue "$q"); done
+start load "$bin/tools/load/load" "${load_args[@]}"
+load_pid=${pid_of[load]}
+
+sleep $((seconds / 10))
+port=$(holder_port)
+drained=lom-49
+"$bin/app/pomelomill" drain $drained --entry 127.0.0.1:"$port" ||
+  echo "run.sh: $drained is already in a wave"
+
+sleep $((seconds / 10))
+echo "run.sh: entry-3 is replaced"
+kill -TERM "${pid_of[entry-3]}"
+wait "${pid_of[entry-3]}" && echo "run.sh: entry-3 has ended gracefully"
+start entry-3 "$bin/app/pomelomill" serve "$out/entry-3.ini"
+wait_for 60 ready 18302
+echo "run.sh: entry-3 is ready again"
+
+sleep $((seconds / 10))
+echo "run.sh: the store is down for $((seconds / 5)) s"
+http POST $store_port "/admin/down?on=1" >/dev/null
+sleep $((seconds / 5))
+http POST $store_port "/admin/down?on=0" >/dev/null
+echo "run.sh: the store is back"
+
+load_rc=0
+wait "$load_pid" || load_rc=$?
+
+echo
+echo "Requests, by what callers were told and what the endpoints recorded:"
+cat "$out/load.log"
+cut=0
+for ((i = 0; i < vms; i++)); do
+  n=$(http GET $((first_endpoint + i)) /-/counters | grep -o '"cut": [0-9]*' | cut -d' ' -f2)
+  cut=$((cut + n))
+done
+port=$(holder_port)
+status=$(http GET "$port" /-/status)
+reboots=$(http GET $platform_port /-/admin/effects | grep -o reboot | wc -l)
+echo
+echo "planned stops (reboots done by the platform): $reboots"
+echo "requests cut by planned stops: $cut"
+echo "moves opened by the holder: $(field moves <<<"$status")"
+echo "configuration revision: $(field config_revision <<<"$status")"
+echo "region state: $(field state_bytes <<<"$status") bytes, version $(field state_version <<<"$status")"
+echo "wave: $(grep -o '"waves":\[[^]]*\]' <<<"$status")"
+echo "store: $(http GET $store_port /admin/counters | field started) calls in ${SECONDS} s"
+
+failed=0
+[ $load_rc -eq 0 ] || { echo "run.sh: a wrong, doubled or falsely refused request" >&2; failed=1; }
+[ "$cut" -eq 0 ] || { echo "run.sh: planned stops cut requests" >&2; failed=1; }
+[ "$reboots" -gt 0 ] || { echo "run.sh: no VM was maintained" >&2; failed=1; }
+exit $failed
--- a/tools/fake_platform/src/main.cc
+++ b/tools/fake_platform/src/main.cc
@@ -60,7 +60,7 @@
   asio::io_context context;
   pomelomill::AsioTimerService timers(context);
   pomelomill::HttpClient http(context);
-  const std::string endpoints = args["endpoint-admin"].as<std::string>();
+  const bool tells_endpoints = args.count("tell-endpoints") != 0;
   pomelomill::FakePlatform platform(
       timers,
       {.list_lag = milliseconds(args["list-lag-ms"].as<int>()),
@@ -69,10 +69,12 @@
        .reboot_time = milliseconds(args["reboot-ms"].as<int>())},
       [&](const pomelomill::VmId& vm, EndpointMode mode,
           pomelomill::Generation generation) {
-        if (endpoints.empty()) return;
+        const auto status = platform.GetVm(vm);
+        if (!tells_endpoints || !status) return;
         pomelomill::HttpRequest request;
         request.method = "POST";
-        request.url = "http://" + endpoints + "/-/admin?vm=" + vm.value() +
+        request.url = "http://" + status->vm.address + "/-/admin?vm=" +
+                      vm.value() +
                       "&mode=" + NameOf(mode) +
                       "&generation=" + std::to_string(generation.value());
         http.Send(std::move(request), [vm](const pomelomill::HttpResult& it) {
@@ -137,8 +139,8 @@
       "vm-base-port", "port of the first one",
       cxxopts::value<int>()->default_value("20000"))(
       "workers", "workers to add", cxxopts::value<int>()->default_value("0"))(
-      "endpoint-admin", "ip:port of the endpoint process's admin address",
-      cxxopts::value<std::string>()->default_value(""))(
+      "tell-endpoints",
+      "tell the endpoint on each VM's address what happens to the VM")(
       "list-lag-ms", "lag of the VM list",
       cxxopts::value<int>()->default_value("2000"))(
       "usage-lag-ms", "lag of workers' usage",
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -62,26 +62,35 @@
 void LoadRun::Call(std::size_t queue) {
   const QueueLoad& load = options_.queues[queue];
   const std::string id = options_.prefix + std::to_string(next_id_++);
+  calls_[id] = {.queue = load.queue, .is_order = load.is_order};
+  ++open_;
+  Send(id, next_id_, timers_.Now(), options_.targets.size());
+}
+
+void LoadRun::Send(const std::string& id, std::uint64_t target, Instant started,
+                   std::size_t tries) {
+  const CallRecord& call = calls_.at(id);
   HttpRequest request;
   request.method = "POST";
-  request.url = options_.targets[next_id_ % options_.targets.size()] + "/" +
-                load.queue + "/" + id;
+  request.url = options_.targets[target % options_.targets.size()] + "/" +
+                call.queue + "/" + id;
   request.headers.push_back({"X-Request-Id", id});
   request.body = "work";
   request.timeout = options_.timeout;
   // The generator itself must not repeat an order.
-  request.use_fresh_connection = load.is_order;
-  calls_[id] = {.queue = load.queue, .is_order = load.is_order};
-  ++open_;
-  const Instant sent_at = timers_.Now();
-  client_.Send(std::move(request),
-               [this, id, sent_at](const HttpResult& result) {
-                 CallRecord& record = calls_.at(id);
-                 record.result = Judge(result, id);
-                 record.latency = timers_.Now() - sent_at;
-                 --open_;
-                 CheckDone();
-               });
+  request.use_fresh_connection = call.is_order;
+  client_.Send(std::move(request), [this, id, target, started,
+                                    tries](const HttpResult& result) {
+    // The platform's load balancer goes on to the next entry when one
+    // accepts no connection.
+    if (result.error && !result.may_have_been_sent && tries > 1)
+      return Send(id, target + 1, started, tries - 1);
+    CallRecord& record = calls_.at(id);
+    record.result = Judge(result, id);
+    record.latency = timers_.Now() - started;
+    --open_;
+    CheckDone();
+  });
 }
 
 void LoadRun::CheckDone() {
--- a/tools/load/load_run.h
+++ b/tools/load/load_run.h
@@ -73,6 +73,8 @@
   void ScheduleNext(std::size_t queue);
   double RateOf(std::size_t queue) const;
   void Call(std::size_t queue);
+  void Send(const std::string& id, std::uint64_t target, Instant started,
+            std::size_t tries);
   void CheckDone();
 
   HttpClient& client_;
