Build the fault matrix in the release preset

Cause: scripts/faults.sh builds with optimization, where GCC 12 reports false -Wrestrict and -Wmaybe-uninitialized warnings in three files as errors. Change: the same values are built without string addition, nested initializers and an optional; no behaviour changes.

--- a/tools/faults/src/callers.cc
+++ b/tools/faults/src/callers.cc
@@ -3,6 +3,8 @@
 #include <memory>
 #include <utility>
 
+#include "text.h"
+
 namespace pomelomill::faults {
 namespace {
 
@@ -21,7 +23,7 @@
     if (door.is_ready && !door.is_ready()) continue;
     const std::size_t index = world.evidence.requests.size();
     CallerRequest request;
-    request.id = "r" + std::to_string(index + 1);
+    request.id = Text("r", index + 1);
     request.queue = arrival.load.queue;
     request.entry = door.process->name();
     request.is_repeatable = arrival.load.is_repeatable;
--- a/tools/faults/src/lease_group.cc
+++ b/tools/faults/src/lease_group.cc
@@ -76,13 +76,18 @@
     if (claimed_ == keeper_->lease()) return ReadState();
     if (claimer_->is_busy()) return;
     const LeaseId lease = keeper_->lease();
-    claimer_->Write(
-        {kControlKey, incarnation_, {incarnation_, 1}, Version(), lease},
-        [this, lease](const Result<Version>& version) {
-          if (!version || lease != keeper_->lease()) return;
-          claimed_ = lease;
-          epoch_ = Epoch();
-        });
+    CasWrite write;
+    write.key = kControlKey;
+    write.value = incarnation_;
+    write.mark.writer = incarnation_;
+    write.mark.sequence = 1;
+    write.lease = lease;
+    claimer_->Write(std::move(write),
+                    [this, lease](const Result<Version>& version) {
+                      if (!version || lease != keeper_->lease()) return;
+                      claimed_ = lease;
+                      epoch_ = Epoch();
+                    });
   }
 
   void ReadState() {
--- a/tools/faults/src/request_checkers.cc
+++ b/tools/faults/src/request_checkers.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <map>
-#include <optional>
 #include <set>
 
 #include "checkers.h"
@@ -17,18 +16,20 @@
              Instant to) {
   for (const ProcessRecord& it : evidence.processes) {
     if (it.name != process) continue;
-    std::optional<Instant> away_since;
+    bool is_away = false;
+    Instant away_since;
     for (const auto& event : it.events) {
       const bool is_leaving = event.change == ProcessChange::kCrash ||
                               event.change == ProcessChange::kPause;
       if (is_leaving) {
-        if (!away_since) away_since = event.at;
-      } else if (away_since) {
-        if (*away_since <= to && event.at >= from) return true;
-        away_since.reset();
+        if (!is_away) away_since = event.at;
+        is_away = true;
+      } else if (is_away) {
+        if (away_since <= to && event.at >= from) return true;
+        is_away = false;
       }
     }
-    if (away_since && *away_since <= to) return true;
+    if (is_away && away_since <= to) return true;
   }
   return false;
 }
