--- a/cmake/PomelomillLibrary.cmake
+++ b/cmake/PomelomillLibrary.cmake
@@ -8,7 +8,9 @@
 add_library(pomelomill_options INTERFACE)
 target_compile_options(pomelomill_options INTERFACE -Wall -Wextra -Wshadow -Werror
                        # Designated initializers name only what differs.
-                       -Wno-missing-field-initializers)
+                       -Wno-missing-field-initializers
+                       # False positive of GCC 12 on "text" + std::string.
+                       -Wno-restrict)
 # Asio 1.22 chooses its allocator by a macro that depends on the order of
 # includes; a fixed choice keeps allocation and release in step.
 target_compile_definitions(pomelomill_options INTERFACE ASIO_STANDALONE
--- a/libs/control/include/pomelomill/control/controller.h
+++ b/libs/control/include/pomelomill/control/controller.h
@@ -31,7 +31,7 @@
   IncarnationId self;
   Duration tick = std::chrono::milliseconds(250);
   /// Pause between two reads of the VM list, and between two plans.
-  Duration plan_interval = std::chrono::seconds(1);
+  Duration plan_interval = std::chrono::seconds(2);
   Duration call_timeout = std::chrono::seconds(2);
   /// The control lease must be certain for this long when the platform is
   /// called: the call's timeout and a margin for clock drift.
--- a/libs/entry/include/pomelomill/entry/entry_node.h
+++ b/libs/entry/include/pomelomill/entry/entry_node.h
@@ -37,8 +37,8 @@
   MembershipSettings membership;
   Duration store_timeout = std::chrono::seconds(2);
   Duration peer_timeout = std::chrono::milliseconds(800);
-  /// How long one watch waits for a change.
-  Duration watch_wait = std::chrono::seconds(30);
+  /// How long one watch waits for a change; see KeyWatcherOptions.
+  Duration watch_wait = std::chrono::seconds(4);
   /// Pause between two listings of the entries' keys. Only the control lease
   /// holder needs them soon, to see which lease has lapsed.
   Duration list_interval = std::chrono::seconds(30);
--- a/libs/store/include/pomelomill/store/key_watcher.h
+++ b/libs/store/include/pomelomill/store/key_watcher.h
@@ -11,11 +11,13 @@
 namespace pomelomill {
 
 struct KeyWatcherOptions {
-  /// Longest wait of one watch call.
-  Duration wait = std::chrono::seconds(20);
+  /// Longest wait of one watch call. A call that the store never answers ends
+  /// 2 s later; with the longest pause that must stay below the 10 s in which
+  /// a configuration is in force everywhere.
+  Duration wait = std::chrono::seconds(4);
   /// Pause after a failed call; doubles up to the longest pause.
   Duration first_pause = std::chrono::milliseconds(200);
-  Duration longest_pause = std::chrono::seconds(5);
+  Duration longest_pause = std::chrono::seconds(1);
 };
 
 /// Follows one key by one waiting watch. Each version is delivered at most
