Keep arrival totals over table changes; carry admin paths over cold starts

Cause: the router rebuilt its queues with each region state and lost their arrival totals; the difference wrapped to 1.3e19 requests a second and the control lease holder searched for that many VMs without end. gdb showed BaseVms with a load of 2e18. Fake endpoints answer their admin paths also during a cold start, since the load generator reads their records then.

--- a/libs/entry/src/demand_meter.cc
+++ b/libs/entry/src/demand_meter.cc
@@ -25,7 +25,8 @@
   for (const QueueTotals& it : totals) {
     const auto [found, is_new] = rates_.try_emplace(it.queue);
     Rates& r = found->second;
-    if (is_new) {
+    // A lower total means that the counter has started again.
+    if (is_new || it.arrived < r.totals.arrived) {
       r = {.totals = it, .since = now, .at = now};
       continue;
     }
--- a/libs/routing/src/router_tables.cc
+++ b/libs/routing/src/router_tables.cc
@@ -43,6 +43,7 @@
         .pool = pool,
         .waiting = old.empty() ? DeadlineQueue(declaration.max_waiting)
                                : std::move(old.mapped().waiting),
+        .arrived = old.empty() ? 0 : old.mapped().arrived,
         .account = is_same_budget ? old.mapped().account
                                   : BudgetAccount(declaration.availability,
                                                   declaration.window, expected),
--- a/tools/fake_endpoint/endpoint_port.cc
+++ b/tools/fake_endpoint/endpoint_port.cc
@@ -54,7 +54,7 @@
       [this](std::error_code ec, asio::ip::tcp::socket socket) {
         if (ec) return;
         const bool is_full = open_connections_ >= options_.connections;
-        if (!is_full && timers_.Now() >= warm_at_) {
+        if (!is_full) {
           ++open_connections_;
           std::make_shared<Connection>(*this, std::move(socket))->Start();
         }
@@ -79,8 +79,8 @@
                                          const std::string& id,
                                          const std::string& key,
                                          bool is_reused) {
-  if (mode_ == Mode::kDown && !target.starts_with("/-/"))
-    return {.closes = true};
+  const bool is_off = mode_ == Mode::kDown || timers_.Now() < warm_at_;
+  if (is_off && !target.starts_with("/-/")) return {.closes = true};
   if (target == "/healthz") {
     std::ostringstream body;
     body << "{\"active\": " << active_ << ", \"slots\": " << options_.slots
--- a/tools/fake_endpoint/endpoint_port.h
+++ b/tools/fake_endpoint/endpoint_port.h
@@ -41,7 +41,7 @@
   Duration service_mean = std::chrono::milliseconds(100);
   /// "fixed" or "exponential".
   bool is_exponential = true;
-  /// The endpoint refuses connections for this time after its start.
+  /// The endpoint closes every connection for this time after its start.
   Duration cold_start{0};
 };
 
--- a/tools/fake_platform/src/main.cc
+++ b/tools/fake_platform/src/main.cc
@@ -73,9 +73,8 @@
         if (!tells_endpoints || !status) return;
         pomelomill::HttpRequest request;
         request.method = "POST";
-        request.url = "http://" + status->vm.address + "/-/admin?vm=" +
-                      vm.value() +
-                      "&mode=" + NameOf(mode) +
+        request.url = "http://" + status->vm.address +
+                      "/-/admin?vm=" + vm.value() + "&mode=" + NameOf(mode) +
                       "&generation=" + std::to_string(generation.value());
         http.Send(std::move(request), [vm](const pomelomill::HttpResult& it) {
           if (it.error || it.response.status != 200) {
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -79,18 +79,18 @@
   request.timeout = options_.timeout;
   // The generator itself must not repeat an order.
   request.use_fresh_connection = call.is_order;
-  client_.Send(std::move(request), [this, id, target, started,
-                                    tries](const HttpResult& result) {
-    // The platform's load balancer goes on to the next entry when one
-    // accepts no connection.
-    if (result.error && !result.may_have_been_sent && tries > 1)
-      return Send(id, target + 1, started, tries - 1);
-    CallRecord& record = calls_.at(id);
-    record.result = Judge(result, id);
-    record.latency = timers_.Now() - started;
-    --open_;
-    CheckDone();
-  });
+  client_.Send(std::move(request),
+               [this, id, target, started, tries](const HttpResult& result) {
+                 // The platform's load balancer goes on to the next entry when
+                 // one accepts no connection.
+                 if (result.error && !result.may_have_been_sent && tries > 1)
+                   return Send(id, target + 1, started, tries - 1);
+                 CallRecord& record = calls_.at(id);
+                 record.result = Judge(result, id);
+                 record.latency = timers_.Now() - started;
+                 --open_;
+                 CheckDone();
+               });
 }
 
 void LoadRun::CheckDone() {
