--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -268,8 +268,8 @@
       done(node_.HandleFetchState(request));
     };
     handlers.run_keyed = [this](const RunKeyedRequest& request,
-                                PeerCallback<RunKeyedReply> done) {
-      RunKeyed(request, std::move(done));
+                                const PeerCallback<RunKeyedReply>& done) {
+      RunKeyed(request, done);
     };
     return handlers;
   }
@@ -309,7 +309,7 @@
   }
 
   void RunKeyed(const RunKeyedRequest& keyed,
-                PeerCallback<RunKeyedReply> done) {
+                const PeerCallback<RunKeyedReply>& done) {
     IncomingRequest request{
         .method = keyed.method, .target = keyed.path, .body = keyed.body};
     for (const PeerHeader& it : keyed.headers)
