Fix linter findings and read responses by their length in run.sh

Cause: clang-tidy reported two widening multiplications, and run.sh waited for fake endpoints that keep their connection open. Change: 64-bit factors; run.sh reads Content-Length bytes.

--- a/libs/control/src/wave_windows.cc
+++ b/libs/control/src/wave_windows.cc
@@ -5,7 +5,7 @@
 
 using std::chrono::seconds;
 
-constexpr std::int64_t kDayS = 24 * 3600;
+constexpr std::int64_t kDayS = std::int64_t{24} * 3600;
 
 /// Seconds from `now_s` until the next time that is `minute` after midnight;
 /// in [0, one day).
--- a/libs/control/test/intent_step_test.cc
+++ b/libs/control/test/intent_step_test.cc
@@ -180,7 +180,7 @@
                                            .not_before_minute = 22 * 60,
                                            .deadline_minute = 4 * 60};
   const auto at = [&](int hour) {
-    return WaveWindows(declarations, hour * 3600).at(WaveId("w"));
+    return WaveWindows(declarations, std::int64_t{hour} * 3600).at(WaveId("w"));
   };
   CHECK(at(21).until_start == hours(1));
   CHECK(at(21).until_deadline == hours(7));
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -41,12 +41,14 @@
 
 # One HTTP exchange by bash itself: the fresh machine has no HTTP command.
 http() {  # METHOD PORT TARGET
-  local response
+  local line length=0
   exec 9<>"/dev/tcp/127.0.0.1/$2" || return 1
   printf '%s %s HTTP/1.1\r\nHost: localhost\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' "$1" "$3" >&9
-  response=$(cat <&9)
+  while read -r -t 5 -u 9 line && line=${line%$'\r'} && [ -n "$line" ]; do
+    case ${line,,} in content-length:*) length=${line#*: } ;; esac
+  done
+  [ "$length" -gt 0 ] && head -c "$length" <&9
   exec 9>&-
-  printf '%s' "${response##*$'\r\n\r\n'}"
 }
 wait_for() {  # SECONDS COMMAND...
   local n=$(($1 * 5))
