Let a grown slot share take effect although tables come often

Cause: each new region state started the 3 s delay of grown shares again, and a running wave writes one every second or two. An entry whose share had just become active kept a limit of 0 on every endpoint, and about 90% of the requests of the demonstration were told not run. Change: only a change of the share itself starts the delay.

--- a/libs/routing/src/endpoint_set.cc
+++ b/libs/routing/src/endpoint_set.cc
@@ -44,9 +44,14 @@
   for (auto& [vm, it] : endpoints_) {
     const std::uint32_t in_force =
         now < growth_at_ ? std::min(it.share, it.previous_share) : it.share;
-    it.share = it.is_listed ? TableShare(vm, it.state) : 0;
+    const std::uint32_t share = it.is_listed ? TableShare(vm, it.state) : 0;
+    if (now >= growth_at_) it.previous_share = it.share;
+    // A table that leaves the share as it is must not start the delay again:
+    // in a wave there is a new table every second or two.
+    if (share == it.share) continue;
+    it.share = share;
     it.previous_share = in_force;
-    has_grown = has_grown || it.share > in_force;
+    has_grown = has_grown || share > in_force;
   }
   if (has_grown) growth_at_ = now + kGrowthDelay;
 }
