Report an entry as ready only once it has slots, and pass them on at its stop

Cause: an entry said that it was ready as soon as it could send. Its slot share grows 3 s after the region state that gives it, so it refused every request until then. An entry that stopped gracefully ended before its share was passed on; its successor waited until the old lease had lapsed and the members had had no contact for 10 s: 13 s without a permit, then 3 s without slots.

Change: readiness also waits for the first slots, and ends when the share is taken back; endpoints that fail later do not make an entry unready. A graceful stop waits until the region state has passed on the entry's share, at most 10 s and not at all for the only entry.

Ruled out: a shorter contact window, which the fencing of unreachable entries rests on.

--- a/libs/entry/include/pomelomill/entry/entry_node.h
+++ b/libs/entry/include/pomelomill/entry/entry_node.h
@@ -43,6 +43,9 @@
   /// holder needs them soon, to see which lease has lapsed.
   Duration list_interval = std::chrono::seconds(30);
   Duration holder_list_interval = std::chrono::seconds(2);
+  /// Longest wait of a graceful stop until the entry's slots are passed on:
+  /// the control lease may change hands first, and two plans follow.
+  Duration handover_timeout = std::chrono::seconds(10);
   std::uint64_t seed = 1;
 };
 
@@ -106,8 +109,9 @@
   /// tells the peers. Requests in hand may still be finished.
   void BeginLeaving();
 
-  /// Last step: revokes the lease, so that the entry's share is passed on
-  /// without delay; `done` runs when the store has answered or cannot.
+  /// Last step, once no request is in hand: waits until the region state has
+  /// passed on the entry's slots, for at most the handover timeout, and then
+  /// revokes the lease. `done` runs when the store has answered or cannot.
   void Leave(std::function<void()> done);
 
   /// Takes a report of the data plane; call it at least every 100 ms and
@@ -120,7 +124,8 @@
   FetchStateReply HandleFetchState(const FetchStateRequest& request) const;
 
   /// True when requests may be accepted: a configuration and a region state
-  /// are in force, the entry may send work, and it is not leaving.
+  /// are in force, the entry has slots and may send work, and it is not
+  /// leaving.
   bool is_ready() const;
   EntryStatus status() const;
 
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -83,8 +83,9 @@
   }
 
   void Leave(std::function<void()> done) {
-    is_stopped_ = true;
-    registrar_.Stop(std::move(done));
+    leave_until_ = timers_.Now() + settings_.handover_timeout;
+    leave_done_ = std::move(done);
+    WaitForHandover();
   }
 
   void Halt() { is_stopped_ = true; }
@@ -93,6 +94,7 @@
     demand_.Observe(report.queues, timers_.Now());
     traffic_ = std::move(report);
     UpdateSharesVersion();
+    UpdateSlots();
   }
 
   void HandleExchange(const ExchangeMessage& message,
@@ -116,7 +118,7 @@
 
   bool is_ready() const {
     return !is_leaving_ && config_.revision() > Revision() && state_.value() &&
-           permit_.Check(timers_.Now()).is_allowed();
+           has_slots_ && permit_.Check(timers_.Now()).is_allowed();
   }
 
   EntryStatus status() const {
@@ -206,6 +208,48 @@
             }};
   }
 
+  /// Ends the process's membership once no share of slots is its own any
+  /// more: then its successor need not wait until its lease has lapsed.
+  void WaitForHandover() {
+    const auto state = state_.value();
+    const bool has_share = state && FindOwnShare(*state) != nullptr;
+    const bool has_others = state && state->shares.size() > 1;
+    if (has_share && has_others && timers_.Now() < leave_until_)
+      return After(kPermitInterval, &Impl::WaitForHandover);
+    is_stopped_ = true;
+    registrar_.Stop(std::move(leave_done_));
+  }
+
+  const EntryShare* FindOwnShare(const RegionState& state) const {
+    const auto it =
+        std::find_if(state.shares.begin(), state.shares.end(),
+                     [this](const EntryShare& share) {
+                       return share.incarnation == settings_.incarnation;
+                     });
+    return it == state.shares.end() ? nullptr : &*it;
+  }
+
+  /// A share grows only some seconds after the region state that gives it;
+  /// until then every request would be refused. Once the entry has had slots,
+  /// endpoints that fail later do not make it unready.
+  void UpdateSlots() {
+    const auto state = state_.value();
+    if (!state) return;
+    const EntryShare* own = FindOwnShare(*state);
+    if (own == nullptr || own->phase != SharePhase::kActive) {
+      has_slots_ = false;
+      return;
+    }
+    const bool has_endpoints = std::any_of(
+        state->vms.begin(), state->vms.end(),
+        [](const auto& it) { return it.second.phase == VmPhase::kActive; });
+    const auto& pools = traffic_.load.pools;
+    has_slots_ = has_slots_ || !has_endpoints ||
+                 std::any_of(pools.begin(), pools.end(), [](const auto& it) {
+                   return it.second.free_slots + it.second.in_flight > 0;
+                 });
+  }
+
   // Configuration and region state.
 
   /// The read that the send permit asks for after each registration.
@@ -506,6 +550,9 @@
   KeyWatcher state_watcher_;
   Registrar registrar_;
   Controller controller_;
+  bool has_slots_ = false;
+  Instant leave_until_{};
+  std::function<void()> leave_done_;
   bool is_leaving_ = false;
   bool is_stopped_ = false;
 };
