Do not count unobserved time against VMs that are out for maintenance

Change: the wave scheduler skips the part of a gap between two steps that exceeds 5 s. A test leaves a wave unobserved for 10 minutes; it fails without the change and still sees the wave stop by itself once the time is observed.

--- a/libs/maintenance/include/pomelomill/maintenance/wave_scheduler.h
+++ b/libs/maintenance/include/pomelomill/maintenance/wave_scheduler.h
@@ -17,6 +17,9 @@
   double peak_threshold = 2;
   /// A VM that has not returned after this many cold starts has failed.
   double return_timeout_cold_starts = 3;
+  /// Time between two steps beyond this does not count against a VM that is
+  /// out: its return cannot be seen while the store or the platform is away.
+  Duration longest_step = std::chrono::seconds(5);
   /// Time to drain a VM before its cold start, for estimates.
   Duration drain_time = std::chrono::seconds(5);
   /// The wave's first VMs show whether VMs return from this maintenance: until
@@ -50,6 +53,7 @@
   WaveState OpenWave(const WaveInput& input,
                      const MaintenanceDeclaration& declared) const;
   void CountReturned(Context& context, WaveState& wave);
+  void SkipUnobserved(Instant now);
   void CountFailed(Context& context, WaveState& wave);
   void JudgeEvidence(Context& context, WaveState& wave);
   void Resume(Context& context, WaveState& wave);
@@ -62,6 +66,7 @@
   WaveOptions options_;
   /// When an intent was first seen past its drain step.
   std::map<IntentId, Instant> out_since_;
+  Instant last_step_{};
   /// Mean time out as a multiple of the declared cold start.
   double outage_factor_ = 1;
   std::set<WaveId> reported_at_risk_;
--- a/libs/maintenance/src/wave_scheduler.cc
+++ b/libs/maintenance/src/wave_scheduler.cc
@@ -97,6 +97,8 @@
     return !input.state->intents.contains(it.first);
   });
 
+  SkipUnobserved(now);
+
   std::vector<WaveState*> order;
   for (const auto& [id, declared] : input.declarations->maintenance) {
     WaveState& wave = context.step.waves[id] = OpenWave(input, declared);
@@ -195,6 +197,13 @@
   context.Record(wave, "resume", "an operator resumed the wave");
 }
 
+void WaveScheduler::SkipUnobserved(Instant now) {
+  const Duration excess = now - last_step_ - options_.longest_step;
+  last_step_ = now;
+  if (excess <= Duration(0)) return;
+  for (auto& [intent, since] : out_since_) since += excess;
+}
+
 void WaveScheduler::CountFailed(Context& context, WaveState& wave) {
   for (const auto& [vm, intent] : context.Out(wave)) {
     // Draining takes as long as its requests, or until an entry answers.
--- a/libs/maintenance/test/wave_scheduler_test.cc
+++ b/libs/maintenance/test/wave_scheduler_test.cc
@@ -156,6 +156,25 @@
   CHECK(fixture.wave().done.size() == 12);
 }
 
+// Guards against a wave that stops because its controller could not see the
+// VMs return while the store was away.
+TEST_CASE("time that nobody observed is no evidence against a wave") {
+  WaveFixture fixture = WaveFixture::Generate(1, 2, 12);
+  for (const auto& [id, vm] : fixture.state->vms) fixture.broken.insert(id);
+  WaveScheduler scheduler;
+  fixture.Run(scheduler, seconds(5), 4);
+  REQUIRE(fixture.state->intents.size() > 2);
+  REQUIRE(fixture.wave().phase == WavePhase::kRunning);
+  fixture.now += std::chrono::minutes(10);
+  fixture.Step(scheduler);
+  CHECK(fixture.wave().phase == WavePhase::kRunning);
+  CHECK(fixture.wave().failed.empty());
+
+  // Observed time still counts.
+  fixture.Run(scheduler, seconds(5), 1000);
+  CHECK(fixture.wave().phase == WavePhase::kStoppedByItself);
+}
+
 // Guards against a long wave that risks all VMs that the budgets let go before
 // the first one has returned.
 TEST_CASE("the first batch of a long wave is smaller") {
