Shed requests by the high estimate of the service time

Cause: a request was sent while the mean service time still fitted before its deadline. Of attempts that start at that moment about a third end too late: their outcome is unknown and their slots were wasted, just when slots are short.

Change: admission, shedding, retries and hedges use the 95% estimate.

--- a/libs/routing/src/router.cc
+++ b/libs/routing/src/router.cc
@@ -145,7 +145,7 @@
       (options_.backoff * (1LL << (request.sends - 1))).count());
   const Instant at =
       now_ + Duration(static_cast<std::int64_t>(random_.Unit() * longest));
-  if (at + queue.latency.mean() >= request.deadline) return false;
+  if (at + queue.latency.high() >= request.deadline) return false;
   if (!pool.retries.Take()) return false;
   request.state = State::kBackoff;
   SetTimer(id, request, at);
@@ -245,11 +245,11 @@
 
 bool Router::MakeRoom(Queue& queue, Instant deadline) {
   for (int i = 0; i <= kMaxVictims; ++i) {
-    if (now_ + PredictedWait(queue, deadline) + queue.latency.mean() <
+    if (now_ + PredictedWait(queue, deadline) + queue.latency.high() <
         deadline) {
       return true;
     }
-    if (now_ + queue.latency.mean() >= deadline || i == kMaxVictims) break;
+    if (now_ + queue.latency.high() >= deadline || i == kMaxVictims) break;
     const Pool& pool = pools_.at(queue.pool);
     std::vector<QueueView> views = Views(pool);
     std::size_t own = 0;
@@ -277,7 +277,9 @@
 void Router::Enqueue(RequestId id, Request& request, Queue& queue) {
   request.state = State::kWaiting;
   queue.waiting.Push(id, request.deadline);
-  SetTimer(id, request, request.deadline - queue.latency.mean());
+  // An attempt that starts with only the mean time left often ends too late:
+  // its outcome is then unknown and its slot was wasted.
+  SetTimer(id, request, request.deadline - queue.latency.high());
 }
 
 void Router::DispatchAll() {
@@ -342,7 +344,7 @@
   SetTimer(id, request, request.deadline);
   const Instant hedge_at = now_ + queue.latency.high();
   if (request.is_repeatable && request.sends == 1 &&
-      hedge_at + queue.latency.mean() < request.deadline) {
+      hedge_at + queue.latency.high() < request.deadline) {
     request.hedge_at = hedge_at;
     timers_.emplace(hedge_at, TimerKind::kHedge, id);
   }
