Weigh young measurements with the declared rate, and keep slots until drained

Entries that had just started took the rate of a trough for the mean, and the wave took 6 of the 11 VMs of a pool just before its peak. An entry that left announced it at once; its slots were taken while requests still waited in its queues, and these were refused ("no endpoint is available", 6 to 14 each time).

Change: the mean demand consists of the measurement and of the declared rate, in the proportion of the requests seen to those of 5 minutes. The entry announces that it leaves only after its last request; the slot shares are looked at on each tick of control and the entries are listed each second in place of every 2 s, since a replacement needs three changes in a row. That is one range call a second for each region.

--- a/libs/control/src/controller.cc
+++ b/libs/control/src/controller.cc
@@ -104,10 +104,12 @@
       return;
     }
     executor_.Step(*writer_.state());
+    // Not only at each plan: an entry waits without slots for three changes
+    // of the shares in a row.
+    if (!writer_.is_busy()) ProposeShares();
     if (timers_.Now() >= next_plan_ && !writer_.is_busy()) {
       next_plan_ = timers_.Now() + settings_.plan_interval;
       ReadVmList();
-      ProposeShares();
       if (declarations_) Plan();
     }
     writer_.Flush();
--- a/libs/entry/include/pomelomill/entry/demand_meter.h
+++ b/libs/entry/include/pomelomill/entry/demand_meter.h
@@ -51,8 +51,9 @@
   std::map<QueueId, Rates> rates_;
 };
 
-/// The demand of each queue over all entries. `availability` is that of the
-/// queue's declaration; queues that are not declared are left out.
+/// The demand of each queue over all entries; queues that are not declared are
+/// left out. Until the entries have seen the requests of `kMeanTime`, the
+/// declared rate has a part in the mean.
 std::map<QueueId, QueueDemand> SumDemand(
     const std::vector<std::vector<QueueLoad>>& entries,
     const std::map<QueueId, QueueDeclaration>& queues);
--- a/libs/entry/include/pomelomill/entry/entry_node.h
+++ b/libs/entry/include/pomelomill/entry/entry_node.h
@@ -42,7 +42,7 @@
   /// Pause between two listings of the entries' keys. Only the control lease
   /// holder needs them soon, to see which lease has lapsed.
   Duration list_interval = std::chrono::seconds(30);
-  Duration holder_list_interval = std::chrono::seconds(2);
+  Duration holder_list_interval = std::chrono::seconds(1);
   /// Longest wait of a graceful stop until the entry's slots are passed on:
   /// the control lease may change hands first, and two plans follow.
   Duration handover_timeout = std::chrono::seconds(10);
@@ -105,13 +105,14 @@
 
   void Start();
 
-  /// First step of a graceful stop: gives up control, is no longer ready, and
-  /// tells the peers. Requests in hand may still be finished.
+  /// First step of a graceful stop: gives up control and is no longer ready.
+  /// Requests in hand are still sent and finished.
   void BeginLeaving();
 
-  /// Last step, once no request is in hand: waits until the region state has
-  /// passed on the entry's slots, for at most the handover timeout, and then
-  /// revokes the lease. `done` runs when the store has answered or cannot.
+  /// Last step, once no request is in hand: tells the peers, waits until the
+  /// region state has passed on the entry's slots, for at most the handover
+  /// timeout, and then revokes the lease. `done` runs when the store has
+  /// answered or cannot.
   void Leave(std::function<void()> done);
 
   /// Takes a report of the data plane; call it at least every 100 ms and
--- a/libs/entry/src/demand_meter.cc
+++ b/libs/entry/src/demand_meter.cc
@@ -91,6 +91,14 @@
     sum.demand.service_time =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
             sum.weighted_time_s / sum.demand.mean_rate));
+    // Entries that have just started have seen too little: one trough would
+    // let a wave take most of a pool. Requests counted against those of the
+    // mean's time weigh the measurement, the declared rate fills the rest.
+    const double seen = std::min(
+        1.0,
+        sum.asked / (sum.demand.mean_rate * ToSeconds(DemandMeter::kMeanTime)));
+    sum.demand.mean_rate =
+        seen * sum.demand.mean_rate + (1 - seen) * q.mean_rate;
     const double expected = q.mean_rate * ToSeconds(q.window);
     const double allowed = (1 - q.availability) * std::max(sum.asked, expected);
     sum.demand.budget_spent = sum.missed;
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -83,6 +83,7 @@
   }
 
   void Leave(std::function<void()> done) {
+    is_handing_over_ = true;
     leave_until_ = timers_.Now() + settings_.handover_timeout;
     leave_done_ = std::move(done);
     WaitForHandover();
@@ -416,7 +417,9 @@
     if (const auto sent = registrar_.lease_sent())
       report.lease_age = timers_.Now() - *sent;
     report.shares_version = shares_version_;
-    report.is_leaving = is_leaving_;
+    // Peers take the slots as soon as they know; until then this entry still
+    // sends the requests in its queues.
+    report.is_leaving = is_handing_over_;
     for (const auto& [vm, n] : traffic_.load.in_flight) report.in_flight += n;
     if (!state_.value()) return report;
     for (const auto& [id, vm] : state_.value()->vms) {
@@ -554,6 +557,7 @@
   Instant leave_until_{};
   std::function<void()> leave_done_;
   bool is_leaving_ = false;
+  bool is_handing_over_ = false;
   bool is_stopped_ = false;
 };
 
--- a/libs/entry/test/demand_meter_test.cc
+++ b/libs/entry/test/demand_meter_test.cc
@@ -70,5 +70,22 @@
   CHECK(sum.budget_left == doctest::Approx(12));
 }
 
+// Guards against a plan from the first seconds of new entries: a wave took half
+// of a pool whose queue had just been in a trough.
+TEST_CASE("the declared rate counts until enough requests were seen") {
+  std::map<QueueId, QueueDeclaration> queues;
+  queues[kQueue] = {.id = kQueue, .mean_rate = 100};
+  const QueueLoad young{.queue = kQueue,
+                        .mean_rate = 10,
+                        .current_rate = 10,
+                        .service_time = milliseconds(100),
+                        .asked = 30};
+  QueueLoad old = young;
+  old.asked = 3000;
+  CHECK(SumDemand({{young}}, queues).at(kQueue).mean_rate ==
+        doctest::Approx(0.01 * 10 + 0.99 * 100));
+  CHECK(SumDemand({{old}}, queues).at(kQueue).mean_rate == doctest::Approx(10));
+}
+
 }  // namespace
 }  // namespace pomelomill
