Count only slots of active entries when a wave takes VMs

Cause: while an entry is replaced, the slots of its share serve nothing; the wave counted them as capacity and took VMs that the rest had to replace.

Change: the capacity of a pool is scaled by the active part of the slot shares. A test takes VMs with two active entries and with one of them leaving.

--- a/libs/maintenance/src/capacity_view.cc
+++ b/libs/maintenance/src/capacity_view.cc
@@ -28,6 +28,15 @@
     ++pool->second.racks[vm.rack];
   }
   FindLostDomain();
+  for (const EntryShare& it : input.state->shares) {
+    all_weight_ += it.weight;
+    if (it.phase == SharePhase::kActive) active_weight_ += it.weight;
+  }
+}
+
+int CapacityView::Usable(int vms) const {
+  if (all_weight_ == 0 || vms <= 0) return vms;
+  return static_cast<int>(std::int64_t{vms} * active_weight_ / all_weight_);
 }
 
 bool CapacityView::is_lost(const VmId& vm) const {
@@ -82,10 +91,10 @@
   if (!pool.peaking.empty())
     return {"queue " + pool.peaking.value() + " is in a peak", 0};
   const int left = static_cast<int>(pool.in_service) - 1;
-  const int for_peak = left - static_cast<int>(pool.need.peak_once);
-  const int for_rack = left -
-                       static_cast<int>(LargestRackWithout(pool, state.rack)) -
-                       static_cast<int>(pool.need.base);
+  const int without_rack =
+      left - static_cast<int>(LargestRackWithout(pool, state.rack));
+  const int for_peak = Usable(left) - static_cast<int>(pool.need.peak_once);
+  const int for_rack = Usable(without_rack) - static_cast<int>(pool.need.base);
   if (for_rack < 0) {
     return {"pool " + state.pool.value() +
                 " would break a budget if its largest rack were lost",
--- a/libs/maintenance/src/capacity_view.h
+++ b/libs/maintenance/src/capacity_view.h
@@ -58,12 +58,17 @@
   void FindLostDomain();
   std::uint32_t LargestRackWithout(const PoolCapacity& pool,
                                    const RackId& rack) const;
+  /// VMs whose slots the active entries may use out of `vms`: slots of an
+  /// entry that joins or leaves serve nothing until they are passed on.
+  int Usable(int vms) const;
 
   const WaveInput* input_;
   std::map<PoolId, PoolCapacity> pools_;
   std::unordered_map<VmId, const Intent*> open_;
   std::set<VmId> taken_;
   std::string lost_domain_;
+  std::int64_t all_weight_ = 0;
+  std::int64_t active_weight_ = 0;
 };
 
 }  // namespace pomelomill
--- a/libs/maintenance/test/wave_scheduler_test.cc
+++ b/libs/maintenance/test/wave_scheduler_test.cc
@@ -175,6 +175,29 @@
   CHECK(fixture.wave().phase == WavePhase::kStoppedByItself);
 }
 
+// Guards against VMs that are taken while an entry is replaced, when the slots
+// of that entry serve nothing.
+TEST_CASE("a wave takes fewer VMs while slots of an entry are unused") {
+  WaveFixture fixture = WaveFixture::Generate(1, 2, 12);
+  const auto share = [](const char* name, SharePhase phase) {
+    return EntryShare{.entry = EntryId(name),
+                      .incarnation = IncarnationId(name),
+                      .weight = 1,
+                      .phase = phase};
+  };
+  fixture.state->shares = {share("e1", SharePhase::kActive),
+                           share("e2", SharePhase::kActive)};
+  WaveScheduler whole;
+  const std::size_t all = fixture.Step(whole).actions.size();
+  REQUIRE(all > 0);
+
+  fixture.state->intents.clear();
+  fixture.state->waves.clear();
+  fixture.state->shares[1].phase = SharePhase::kLeaving;
+  WaveScheduler reduced;
+  CHECK(fixture.Step(reduced).actions.size() < all);
+}
+
 // Guards against a long wave that risks all VMs that the budgets let go before
 // the first one has returned.
 TEST_CASE("the first batch of a long wave is smaller") {
