Run the demonstration with seven entries and peaks that fill a pool

Cause: the demonstration asked for at most a tenth of the slots, so that its budgets said nothing; with three entries a replaced one takes a third of all slots, which no deployment with 7 to 9 entries does.

Change: seven entries; requests of 200 ms at rates whose peaks take nearly all slots of a pool, declared as such; a cold start of 8 s, which outlasts a peak of 5 s. The budget is that of the declared window at the declared rate. status shows the slot shares of the entries and the load of each pool.

--- a/app/status_pages.cc
+++ b/app/status_pages.cc
@@ -80,6 +80,18 @@
   return "unknown";
 }
 
+const char* Name(SharePhase phase) {
+  switch (phase) {
+    case SharePhase::kActive:
+      return "active";
+    case SharePhase::kJoining:
+      return "joining";
+    case SharePhase::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
 Json EntryJson(const EntryStatus& s) {
   return {{"entry", s.entry.value()},
           {"incarnation", s.incarnation.value()},
@@ -150,6 +162,17 @@
   return json;
 }
 
+Json SharesJson(const RegionState& state) {
+  Json json = Json::array();
+  for (const EntryShare& it : state.shares) {
+    json.push_back({{"entry", it.entry.value()},
+                    {"incarnation", it.incarnation.value()},
+                    {"weight", it.weight},
+                    {"phase", Name(it.phase)}});
+  }
+  return json;
+}
+
 Json QueuesJson(const TrafficStatus& traffic) {
   Json json = Json::object();
   for (const QueueStatus& it : traffic.queues) {
@@ -173,6 +196,11 @@
   json["open_requests"] = traffic.open_requests;
   json["open_connections"] = traffic.open_connections;
   json["queues"] = QueuesJson(traffic);
+  for (const auto& [pool, it] : traffic.load.pools) {
+    json["pools"][pool.value()] = {{"waiting", it.queued},
+                                   {"in_flight", it.in_flight},
+                                   {"free_slots", it.free_slots}};
+  }
   if (const auto state = node.region_state()) {
     json["region"] = {{"region", state->region.value()},
                       {"epoch", state->epoch.value()},
@@ -181,7 +209,8 @@
                       {"vms", VmsJson(*state)},
                       {"intents", IntentsJson(*state)},
                       {"waves", WavesJson(node, *state)},
-                      {"entries", state->shares.size()}};
+                      {"entries", state->shares.size()},
+                      {"shares", SharesJson(*state)}};
   }
   return json.dump();
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Demonstration of the whole path as separate processes on loopback: the
-# store, the platform and the endpoints as fakes, three entries, a load with a
+# store, the platform and the endpoints as fakes, seven entries, a load with a
 # peak in each queue in turn, a maintenance wave, one drained VM, one replaced
 # entry and one store outage. Ends with a report; exit code 0 only when no
 # figure of it is wrong.
@@ -64,6 +64,7 @@
 platform_port=17100
 first_endpoint=21000
 vms=49
+entries=7
 zones=(lombardy-a lombardy-b lombardy-c)
 
 {
@@ -89,7 +90,7 @@
 peers = 127.0.0.1:$((base + 1))
 admin = 127.0.0.1:$((base + 2))
 [peers]
-entries = 127.0.0.1:18101 127.0.0.1:18201 127.0.0.1:18301
+entries =$(for n in $(seq $entries); do printf " 127.0.0.1:18%d01" "$n"; done)
 [store]
 url = http://127.0.0.1:$store_port
 [platform]
@@ -99,35 +100,45 @@
 
 start store "$bin/tools/fake_store/fake_store" --port $store_port
 start platform "$bin/tools/fake_platform/fake_platform" --port $platform_port \
-  --fleet "$out/fleet.json" --tell-endpoints --list-lag-ms 1000 --reboot-ms 3000 --drain-ms 200
+  --fleet "$out/fleet.json" --tell-endpoints --list-lag-ms 1000 --reboot-ms 6000 --drain-ms 200
 start endpoints "$bin/tools/fake_endpoint/fake_endpoint" --port $first_endpoint \
-  --count $vms --service-us 40000 --cold-start-ms 1000
+  --count $vms --service-us 200000 --cold-start-ms 2000
 sleep 0.5
 
-# The example with the cold start of the fakes: a reboot of 3 s and 1 s until
-# the endpoint serves.
-sed 's/^cold_start = .*/cold_start = 4s/' examples/banderuole.ini >"$out/fleet.ini"
+# The example with the cold start of the fakes (a reboot of 6 s and 2 s until
+# the endpoint serves) and with the rates of the load below.
+rates='silhouette/proof:70 gilding/preview:70 crest/sketch:85
+  metalwork/quote:80 metalwork/order:15:order administration/files:60'
+declare_rates() {
+  local q script='s/^cold_start = .*/cold_start = 8s/;/^service_time/s/=.*/= 200ms/;'
+  for q in $rates; do
+    q=${q%:order}
+    script+="\\|^\\[queue ${q%:*}\\]|,/^mean_rate/s/^mean_rate.*/mean_rate = ${q#*:}/;"
+  done
+  sed "$script" examples/banderuole.ini
+}
+declare_rates >"$out/fleet.ini"
 "$bin/app/pomelomill" check "$out/fleet.ini"
 
-for n in 1 2 3; do
+for n in $(seq $entries); do
   settings $n entry-$n
   start entry-$n "$bin/app/pomelomill" serve "$out/entry-$n.ini"
 done
 "$bin/app/pomelomill" apply "$out/fleet.ini" --store http://127.0.0.1:$store_port --author demo \
-  --wait --entry 127.0.0.1:18102 --entry 127.0.0.1:18202 --entry 127.0.0.1:18302
-for n in 1 2 3; do
+  --wait $(for n in $(seq $entries); do printf ' --entry 127.0.0.1:18%d02' "$n"; done)
+for n in $(seq $entries); do
   wait_for 30 "$bin/app/pomelomill" status --entry 127.0.0.1:18${n}02
 done
 ready() { [[ $(http GET "$1" /-/ready) == *'"ready":true'* ]]; }
-for n in 1 2 3; do wait_for 30 ready 18${n}02; done
-echo "run.sh: three entries are ready"
+for n in $(seq $entries); do wait_for 30 ready 18${n}02; done
+echo "run.sh: $entries entries are ready"
 
 field() {  # NAME: first value of a JSON field on standard input
   grep -o "\"$1\":[^,}]*" | head -1 | cut -d: -f2
 }
 holder_port() {
   local n
-  for n in 1 2 3; do
+  for n in $(seq $entries); do
     if [ "$(http GET 18${n}02 /-/status | field controls_region)" = true ]; then
       echo 18${n}02
       return
@@ -136,15 +147,15 @@
   return 1
 }
 
-queues=(silhouette/proof:30 gilding/preview:30 crest/sketch:40
-  metalwork/quote:40 metalwork/order:10:order administration/files:30)
+# At 200 ms a request, a peak of five times the mean takes nearly all slots of
+# the pool, so that each VM that is out makes requests wait.
 load_args=(--seconds "$seconds" --peak-seconds 5 --seed 1
   --declarations "$out/fleet.ini" --csv "$out/calls.csv"
   --endpoint $first_endpoint --endpoints $vms)
-for n in 1 2 3; do
+for n in $(seq $entries); do
   load_args+=(--target http://127.0.0.1:18${n}00 --ready http://127.0.0.1:18${n}02/-/ready)
 done
-for q in "${queues[@]}"; do load_args+=(--queue "$q"); done
+for q in $rates; do load_args+=(--queue "$q"); done
 start load "$bin/tools/load/load" "${load_args[@]}"
 load_pid=${pid_of[load]}
 
@@ -180,6 +191,7 @@
   n=$(http GET $((first_endpoint + i)) /-/counters | grep -o '"cut": [0-9]*' | cut -d' ' -f2)
   cut=$((cut + n))
 done
+wait_for 30 holder_port
 port=$(holder_port)
 status=$(http GET "$port" /-/status)
 reboots=$(http GET $platform_port /-/admin/effects | grep -o reboot | wc -l)
--- a/tools/load/endpoint_records.cc
+++ b/tools/load/endpoint_records.cc
@@ -77,8 +77,10 @@
   for (auto& [queue, it] : reports) {
     const auto declared = declarations.queues.find(QueueId(queue));
     if (declared != declarations.queues.end()) {
-      it.budget = static_cast<std::uint64_t>(
-          (1 - declared->second.availability) * static_cast<double>(it.sent));
+      const QueueDeclaration& q = declared->second;
+      const double asked = std::max(static_cast<double>(it.sent),
+                                    q.mean_rate * ToSeconds(q.window));
+      it.budget = static_cast<std::uint64_t>((1 - q.availability) * asked);
     }
     it.p50 = Quantile(latencies[queue], 0.5);
     it.p99 = Quantile(latencies[queue], 0.99);
--- a/tools/load/endpoint_records.h
+++ b/tools/load/endpoint_records.h
@@ -31,7 +31,8 @@
   std::uint64_t answered_without_run = 0;
   /// Answered whole within the deadline of the queue.
   std::uint64_t in_time = 0;
-  /// Requests that may miss their deadline, in a window as long as the run.
+  /// Requests that may miss their deadline in one window of the budget: of
+  /// the declared rate, or of the requests sent when these are more.
   std::uint64_t budget = 0;
   /// Responses that are not whole, by the reason that the entry gave.
   std::map<std::string, std::uint64_t> reasons;
