Send orders with keys in the demonstration

Cause: the demonstration sent orders without keys, each to one entry, so that it could not show what a caller's own retries and copies do.

Change: the load generator has two more kinds of orders: with a key that one entry issued, sent to another entry, and with a key of the caller's own. One in ten is sent twice at once, and a caller that learns no outcome asks again with the same key. measure_traffic passes the declarations that Compare needs since the budgets were added; its build was broken.

--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -108,11 +108,14 @@
 # The example with the cold start of the fakes (a reboot of 6 s and 2 s until
 # the endpoint serves) and with the rates of the load below.
 rates='silhouette/proof:70 gilding/preview:70 crest/sketch:85
-  metalwork/quote:80 metalwork/order:15:order administration/files:60'
+  metalwork/quote:80 metalwork/order:15:keyed administration/files:60'
+# Orders with keys of the caller need the store; their rate stays as declared,
+# so that the outage takes a part of their budget.
+claimed=metalwork/commission:0.5:claimed
 declare_rates() {
   local q script='s/^cold_start = .*/cold_start = 8s/;/^service_time/s/=.*/= 200ms/;'
   for q in $rates; do
-    q=${q%:order}
+    q=${q%:keyed}
     script+="\\|^\\[queue ${q%:*}\\]|,/^mean_rate/s/^mean_rate.*/mean_rate = ${q#*:}/;"
   done
   sed "$script" examples/banderuole.ini
@@ -155,7 +158,7 @@
 for n in $(seq $entries); do
   load_args+=(--target http://127.0.0.1:18${n}00 --ready http://127.0.0.1:18${n}02/-/ready)
 done
-for q in $rates; do load_args+=(--queue "$q"); done
+for q in $rates $claimed; do load_args+=(--queue "$q"); done
 start load "$bin/tools/load/load" "${load_args[@]}"
 load_pid=${pid_of[load]}
 
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -78,7 +78,15 @@
                 .is_order = load.is_order,
                 .started = timers_.Now() - start_};
   ++open_;
-  Send(id, ReadyFrom(next_id_), timers_.Now(), options_.targets.size());
+  const std::uint64_t target = ReadyFrom(next_id_);
+  switch (load.key) {
+    case KeyKind::kNone:
+      return Send(id, target, options_.targets.size());
+    case KeyKind::kIssued:
+      return AskForKey(id, target);
+    case KeyKind::kOwn:
+      return SendKeyed(id, "order-" + id, target, options_.targets.size());
+  }
 }
 
 void LoadRun::AskReadiness(std::size_t target) {
@@ -101,8 +109,8 @@
   return target;
 }
 
-void LoadRun::Send(const std::string& id, std::uint64_t target, Instant started,
-                   std::size_t tries) {
+HttpRequest LoadRun::RequestFor(const std::string& id,
+                                std::uint64_t target) const {
   const CallRecord& call = calls_.at(id);
   HttpRequest request;
   request.method = "POST";
@@ -113,22 +121,85 @@
   request.timeout = options_.timeout;
   // The generator itself must not repeat an order.
   request.use_fresh_connection = call.is_order;
-  client_.Send(std::move(request),
-               [this, id, target, started, tries](const HttpResult& result) {
+  return request;
+}
+
+void LoadRun::Send(const std::string& id, std::uint64_t target,
+                   std::size_t tries) {
+  client_.Send(RequestFor(id, target),
+               [this, id, target, tries](const HttpResult& result) {
                  // The platform's load balancer goes on to the next entry when
                  // one accepts no connection.
                  if (result.error && !result.may_have_been_sent && tries > 1)
-                   return Send(id, ReadyFrom(target + 1), started, tries - 1);
-                 CallRecord& record = calls_.at(id);
-                 record.result = Judge(result, id);
-                 record.latency = timers_.Now() - started;
-                 if (record.result != CallResult::kAnsweredWhole)
-                   record.reason = ReasonOf(result);
-                 --open_;
-                 CheckDone();
+                   return Send(id, ReadyFrom(target + 1), tries - 1);
+                 Finish(id, result);
                });
 }
 
+void LoadRun::AskForKey(const std::string& id, std::uint64_t target) {
+  const std::string& entry = options_.targets[target % options_.targets.size()];
+  client_.Send({.method = "POST",
+                .url = entry + "/-/keys?n=1",
+                .timeout = options_.timeout},
+               [this, id, target](const HttpResult& result) {
+                 const std::string& body = result.response.body;
+                 const auto first = body.find("[\"");
+                 const auto last = body.find("\"]");
+                 if (result.error || first == std::string::npos ||
+                     last == std::string::npos)
+                   return Finish(id, result);
+                 SendKeyed(id, body.substr(first + 2, last - first - 2),
+                           ReadyFrom(target + 1), options_.targets.size());
+               });
+}
+
+void LoadRun::SendKeyed(const std::string& id, const std::string& key,
+                        std::uint64_t target, std::size_t tries) {
+  HttpRequest request = RequestFor(id, target);
+  request.headers.push_back({"Idempotency-Key", key});
+  if (random_.Chance(0.1)) {
+    HttpRequest copy = RequestFor(id, ReadyFrom(target + 1));
+    copy.headers = request.headers;
+    ++open_;
+    client_.Send(std::move(copy), [this, id](const HttpResult& result) {
+      Note(id, result);
+      --open_;
+      CheckDone();
+    });
+  }
+  client_.Send(std::move(request), [this, id, key, target,
+                                    tries](const HttpResult& result) {
+    const CallResult seen = Judge(result, id);
+    const bool is_open =
+        seen == CallResult::kBroken || seen == CallResult::kUnknown;
+    // The copy may have got the response.
+    const bool has_response =
+        calls_.at(id).result == CallResult::kAnsweredWhole;
+    if (is_open && !has_response && tries > 1) {
+      timers_.ScheduleAfter(options_.readiness_interval, [=, this] {
+        SendKeyed(id, key, ReadyFrom(target + 1), tries - 1);
+      });
+      return;
+    }
+    Finish(id, result);
+  });
+}
+
+void LoadRun::Note(const std::string& id, const HttpResult& result) {
+  CallRecord& record = calls_.at(id);
+  if (record.result == CallResult::kAnsweredWhole) return;
+  record.result = Judge(result, id);
+  record.latency = timers_.Now() - start_ - record.started;
+  if (record.result != CallResult::kAnsweredWhole)
+    record.reason = ReasonOf(result);
+}
+
+void LoadRun::Finish(const std::string& id, const HttpResult& result) {
+  Note(id, result);
+  --open_;
+  CheckDone();
+}
+
 void LoadRun::CheckDone() {
   if (sending_ == 0 && open_ == 0 && done_) std::exchange(done_, {})();
 }
--- a/tools/load/load_run.h
+++ b/tools/load/load_run.h
@@ -11,6 +11,15 @@
 
 namespace pomelomill::load {
 
+/// The idempotency key of a request.
+enum class KeyKind {
+  kNone,
+  /// Issued by one entry; the request is sent to another one.
+  kIssued,
+  /// Chosen by the caller.
+  kOwn,
+};
+
 /// One queue that the generator sends to.
 struct QueueLoad {
   /// "SERVICE/QUEUE".
@@ -18,6 +27,7 @@
   double mean_rate = 10;
   /// True for requests that must run at most once.
   bool is_order = false;
+  KeyKind key = KeyKind::kNone;
 };
 
 struct LoadOptions {
@@ -81,8 +91,17 @@
   void ScheduleNext(std::size_t queue);
   double RateOf(std::size_t queue) const;
   void Call(std::size_t queue);
-  void Send(const std::string& id, std::uint64_t target, Instant started,
-            std::size_t tries);
+  void Send(const std::string& id, std::uint64_t target, std::size_t tries);
+  /// Asks an entry for a key and sends the request to the next entry.
+  void AskForKey(const std::string& id, std::uint64_t target);
+  /// Sends a request with a key, of one caller in ten twice at once; a caller
+  /// that learned no outcome asks again with the same key.
+  void SendKeyed(const std::string& id, const std::string& key,
+                 std::uint64_t target, std::size_t tries);
+  HttpRequest RequestFor(const std::string& id, std::uint64_t target) const;
+  /// Records a response unless the request already has its whole answer.
+  void Note(const std::string& id, const HttpResult& result);
+  void Finish(const std::string& id, const HttpResult& result);
   void AskReadiness(std::size_t target);
   /// The first target from `target` on that is ready; `target` if none is.
   std::uint64_t ReadyFrom(std::uint64_t target) const;
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <iterator>
 #include <sstream>
+#include <stdexcept>
 
 #include "endpoint_records.h"
 #include "load_run.h"
@@ -24,7 +25,7 @@
 using pomelomill::ToSeconds;
 using namespace pomelomill::load;  // NOLINT(google-build-using-namespace)
 
-/// "SERVICE/QUEUE:RATE" or "SERVICE/QUEUE:RATE:order".
+/// "SERVICE/QUEUE:RATE[:KIND]", see the usage.
 QueueLoad ParseQueue(const std::string& text) {
   QueueLoad load;
   std::istringstream in(text);
@@ -34,7 +35,14 @@
   std::getline(in, rate, ':');
   std::getline(in, kind, ':');
   load.mean_rate = std::stod(rate);
-  load.is_order = kind == "order";
+  load.is_order = !kind.empty();
+  if (kind == "keyed") {
+    load.key = KeyKind::kIssued;
+  } else if (kind == "claimed") {
+    load.key = KeyKind::kOwn;
+  } else if (!kind.empty() && kind != "order") {
+    throw std::invalid_argument("unknown kind of request: " + kind);
+  }
   return load;
 }
 
@@ -111,7 +119,10 @@
                      cxxopts::value<std::vector<std::string>>())(
       "ready", "address that tells whether a target is ready, one for each",
       cxxopts::value<std::vector<std::string>>())(
-      "queue", "SERVICE/QUEUE:RATE[:order], repeatable",
+      "queue",
+      "SERVICE/QUEUE:RATE[:KIND], repeatable; KIND is order (must run at most "
+      "once), keyed (an order with a key of an entry) or claimed (an order "
+      "with a key of the caller)",
       cxxopts::value<std::vector<std::string>>())(
       "endpoint", "first port of the endpoints, for their records",
       cxxopts::value<int>()->default_value("0"))(
--- a/tools/measure_traffic/main.cc
+++ b/tools/measure_traffic/main.cc
@@ -69,8 +69,8 @@
     load::LoadRun run(client, timers, run_options);
     run.Start([&] { context.stop(); });
     context.run();
-    const auto reports =
-        load::Compare(run.calls(), load::CountRuns(endpoints.Records()));
+    const auto reports = load::Compare(
+        run.calls(), load::CountRuns(endpoints.Records()), Declarations());
     for (const auto& [queue, it] : reports) {
       const bool is_right = it.wrong == 0 && it.duplicated == 0 &&
                             it.false_not_run == 0 &&
