Connect idempotency keys across entries and with the store

Cause: serve set neither of the hooks for keys, so that a key of the caller's own was always refused, and a key that another entry had issued always ended with an unknown outcome. Behind that, every forwarded request was rejected as malformed, since the message between entries must name the queue and the sender left it empty.

Change: serve forwards requests with foreign keys to their issuer, claims own keys in the store and ends the claims; the forwarded message names queue and team.

--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -194,9 +194,37 @@
             .on_admin =
                 [this](IncomingRequest request, RespondHook respond) {
                   OnAdmin(std::move(request), std::move(respond));
+                },
+            .forward_keyed =
+                [this](IncarnationId issuer, IncomingRequest request,
+                       RespondHook respond) {
+                  asio::post(control_, [this, issuer = std::move(issuer),
+                                        request = std::move(request),
+                                        respond = std::move(respond)] {
+                    ForwardKeyed(issuer, request, respond);
+                  });
+                },
+            .claim_key =
+                [this](std::string key, std::function<void(ClaimResult)> done) {
+                  asio::post(control_,
+                             [this, key = std::move(key),
+                              done = std::move(done)] { ClaimKey(key, done); });
+                },
+            .finish_key =
+                [this](std::string key, KeyOutcome outcome) {
+                  asio::post(control_, [this, key = std::move(key), outcome] {
+                    claims_.Finish(key, outcome);
+                  });
                 }};
   }
 
+  void ClaimKey(const std::string& key,
+                const std::function<void(ClaimResult)>& done) {
+    claims_.Claim(key, [this, done](const ClaimResult& result) {
+      asio::post(traffic_, [done, result] { done(result); });
+    });
+  }
+
   EntryNodeSettings MakeNodeSettings() const {
     EntryNodeSettings settings;
     settings.entry = settings_.entry;
@@ -285,11 +313,14 @@
       RespondOnTraffic(respond, ResponseFor({.outcome = Outcome::kUnknown}));
       return;
     }
-    RunKeyedRequest keyed{.key = std::string(request.header("Idempotency-Key")),
-                          .method = request.method,
-                          .path = request.target,
-                          .deadline = kForwardTimeout,
-                          .body = request.body};
+    RunKeyedRequest keyed{
+        .key = std::string(request.header("Idempotency-Key")),
+        .method = request.method,
+        .queue = QueueId(std::string(QueueOfTarget(request.target))),
+        .path = request.target,
+        .team = TeamId(std::string(request.header("Pomelomill-Team"))),
+        .deadline = kForwardTimeout,
+        .body = request.body};
     for (const HttpHeader& it : request.headers)
       keyed.headers.push_back({it.name, it.value});
     peer_client_.RunKeyed(address, keyed, kForwardTimeout,
--- a/libs/traffic/include/pomelomill/traffic/caller_protocol.h
+++ b/libs/traffic/include/pomelomill/traffic/caller_protocol.h
@@ -58,6 +58,9 @@
 /// N is out of range.
 std::optional<std::uint32_t> KeysAskedFor(std::string_view target);
 
+/// "SERVICE/QUEUE" of "/SERVICE/QUEUE/REST"; empty when there is none.
+std::string_view QueueOfTarget(std::string_view target);
+
 /// A response made by the entry itself, with a JSON body {"error": reason}.
 OutgoingResponse ErrorResponse(int status, const std::string& reason);
 
--- a/libs/traffic/src/caller_protocol.cc
+++ b/libs/traffic/src/caller_protocol.cc
@@ -18,17 +18,6 @@
   return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
 }
 
-/// "SERVICE/QUEUE" of "/SERVICE/QUEUE/REST"; empty when there is none.
-std::string_view QueueOfTarget(std::string_view target) {
-  if (!target.starts_with('/')) return {};
-  const std::string_view path = target.substr(1, target.find('?') - 1);
-  const auto first = path.find('/');
-  if (first == std::string_view::npos || first == 0) return {};
-  const auto second = path.find('/', first + 1);
-  const std::string_view queue = path.substr(0, second);
-  return queue.size() == first + 1 ? std::string_view() : queue;
-}
-
 /// Prefix of the headers that callers and entries exchange.
 bool IsOwnHeader(std::string_view name) {
   constexpr std::string_view kPrefix = "Pomelomill-";
@@ -74,6 +63,16 @@
 
 }  // namespace
 
+std::string_view QueueOfTarget(std::string_view target) {
+  if (!target.starts_with('/')) return {};
+  const std::string_view path = target.substr(1, target.find('?') - 1);
+  const auto first = path.find('/');
+  if (first == std::string_view::npos || first == 0) return {};
+  const auto second = path.find('/', first + 1);
+  const std::string_view queue = path.substr(0, second);
+  return queue.size() == first + 1 ? std::string_view() : queue;
+}
+
 OutgoingResponse ErrorResponse(int status, const std::string& reason) {
   OutgoingResponse response;
   response.status = status;
