Write log lines by Boost.Log, one for each change of an entry

Cause: serve printed nothing but failures to listen, so an operator could not see when an entry lost the control lease, the store or its send permit.

Change: log.{h,cc} sets up one line format: UTC time, severity, prefix of the part, sentence. [log] level, which was parsed but not used, now holds lines back. Changes that revert between two reports have no line. Lines depend on changes only, never on requests. Boost headers stay in log.cc.

--- a/app/serve_command.cc
+++ b/app/serve_command.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <utility>
 
+#include "log.h"
 #include "pomelomill/config.h"
 #include "serve_process.h"
 
@@ -20,7 +21,10 @@
       std::cerr << ToText(it) << "\n";
     return 2;
   }
-  return ServeProcess(std::move(*settings)).Run();
+  StartLog(settings->log_level, std::cerr);
+  const int exit_code = ServeProcess(std::move(*settings)).Run();
+  StopLog();
+  return exit_code;
 }
 
 }  // namespace pomelomill
--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -6,13 +6,14 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <ctime>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
 #include <thread>
 #include <utility>
 
+#include "change_log.h"
+#include "log.h"
 #include "pomelomill/base/asio_timer_service.h"
 #include "pomelomill/control.h"
 #include "pomelomill/entry.h"
@@ -130,14 +131,20 @@
 
   int Run() {
     if (!peer_server_.Start(settings_.peer_address)) {
-      std::cerr << "cannot listen on " << settings_.peer_address << "\n";
+      Log(LogPart::kApp, LogLevel::kError,
+          "cannot listen on " + settings_.peer_address);
       return 1;
     }
     if (!traffic_server_.Start()) {
-      std::cerr << "cannot listen on " << settings_.caller_address << " or "
-                << settings_.admin_address << "\n";
+      Log(LogPart::kApp, LogLevel::kError,
+          "cannot listen on " + settings_.caller_address + " or " +
+              settings_.admin_address);
       return 1;
     }
+    Log(LogPart::kApp, LogLevel::kInfo,
+        "started as " + incarnation_.value() + ", callers " +
+            settings_.caller_address + ", peers " + settings_.peer_address +
+            ", admin " + settings_.admin_address);
     signals_.async_wait([this](std::error_code ec, int) {
       if (!ec) BeginStop();
     });
@@ -148,6 +155,7 @@
     traffic_guard.reset();
     traffic_.stop();
     traffic_thread.join();
+    Log(LogPart::kApp, LogLevel::kInfo, "stopped");
     return 0;
   }
 
@@ -159,11 +167,32 @@
 
   StoreClient MakeStore() {
     return WithBreaker(HttpStoreClient(http_, settings_.store_url),
-                       control_timers_, std::make_shared<CircuitBreaker>());
+                       control_timers_, breaker_);
   }
 
   PlatformClient MakePlatform() {
-    return MakeHttpPlatformClient(http_, settings_.platform_url);
+    PlatformClient client =
+        MakeHttpPlatformClient(http_, settings_.platform_url);
+    client.list_vms = [this, list_vms = client.list_vms](
+                          Duration timeout,
+                          PlatformCallback<std::vector<VmRecord>> done) {
+      list_vms(timeout, [this, done = std::move(done)](
+                            Result<std::vector<VmRecord>> listed) {
+        LogVmList(listed.has_value());
+        done(std::move(listed));
+      });
+    };
+    return client;
+  }
+
+  void LogVmList(bool is_readable) {
+    if (is_readable == is_vm_list_readable_) return;
+    is_vm_list_readable_ = is_readable;
+    if (is_readable) {
+      Log(LogPart::kPlatform, LogLevel::kInfo, "VM list readable again");
+    } else {
+      Log(LogPart::kPlatform, LogLevel::kWarning, "VM list unreadable");
+    }
   }
 
   TrafficOptions MakeTrafficOptions() const {
@@ -182,19 +211,24 @@
   }
 
   TrafficHooks MakeTrafficHooks() {
-    return {.on_report =
-                [this](LoadReport load) {
-                  TrafficReport report{
-                      .load = std::move(load),
-                      .queues = TotalsOf(traffic_server_.status())};
-                  asio::post(control_, [this, report = std::move(report)] {
-                    node_.TrafficReported(report);
-                  });
-                },
-            .on_admin =
-                [this](IncomingRequest request, RespondHook respond) {
-                  OnAdmin(std::move(request), std::move(respond));
-                }};
+    return {
+        .on_report =
+            [this](LoadReport load) {
+              TrafficReport report{
+                  .load = std::move(load),
+                  .queues = TotalsOf(traffic_server_.status())};
+              asio::post(control_, [this, report = std::move(report)] {
+                node_.TrafficReported(report);
+                changes_.Observe({.entry = node_.status(),
+                                  .state = node_.region_state(),
+                                  .ejected = report.load.ejected,
+                                  .is_store_reachable = !breaker_->is_open()});
+              });
+            },
+        .on_admin =
+            [this](IncomingRequest request, RespondHook respond) {
+              OnAdmin(std::move(request), std::move(respond));
+            }};
   }
 
   EntryNodeSettings MakeNodeSettings() const {
@@ -381,6 +415,7 @@
   // Graceful stop.
 
   void BeginStop() {
+    Log(LogPart::kApp, LogLevel::kInfo, "stopping");
     node_.BeginLeaving();
     // A second signal ends the process without waiting for requests.
     signals_.async_wait([this](std::error_code ec, int) {
@@ -388,8 +423,10 @@
     });
     asio::post(traffic_, [this] {
       traffic_server_.Drain([this] {
-        asio::post(control_,
-                   [this] { node_.Leave([this] { control_.stop(); }); });
+        asio::post(control_, [this] {
+          Log(LogPart::kTraffic, LogLevel::kInfo, "requests in hand finished");
+          node_.Leave([this] { control_.stop(); });
+        });
       });
     });
   }
@@ -406,6 +443,9 @@
   DecisionLog decisions_;
   PeerClient peer_client_;
   TrafficServer traffic_server_;
+  std::shared_ptr<CircuitBreaker> breaker_ = std::make_shared<CircuitBreaker>();
+  bool is_vm_list_readable_ = true;
+  ChangeLog changes_{Log};
   StoreClient store_;
   KeyClaims claims_;
   EntryNode node_;
