Serve metrics on the admin address

Cause: MetricRegistry existed and nothing used it.

Change: GET /-/metrics in the text exposition format. RequestMetrics counts requests by queue, team, outcome and reason and measures answered ones; it lives on the traffic thread, caches its series, and hands out a copy for the page, so no lock is held. The control thread adds pools, store calls, control lease, revisions and the send permit.

The cost on the traffic path was not measured.

--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -14,6 +14,7 @@
 
 #include "change_log.h"
 #include "log.h"
+#include "metrics_page.h"
 #include "pomelomill/base/asio_timer_service.h"
 #include "pomelomill/control.h"
 #include "pomelomill/entry.h"
@@ -82,6 +83,12 @@
   return health;
 }
 
+constexpr const char* kMetricsPath = "/-/metrics";
+
+std::string PathOf(const std::string& target) {
+  return target.substr(0, target.find('?'));
+}
+
 /// Value of one parameter of a request target's query; empty when absent.
 std::string QueryValue(const std::string& target, const std::string& name) {
   const auto query = target.find('?');
@@ -166,8 +173,9 @@
   }
 
   StoreClient MakeStore() {
-    return WithBreaker(HttpStoreClient(http_, settings_.store_url),
-                       control_timers_, breaker_);
+    return WithBreaker(
+        WithCounter(HttpStoreClient(http_, settings_.store_url), store_calls_),
+        control_timers_, breaker_);
   }
 
   PlatformClient MakePlatform() {
@@ -370,19 +378,32 @@
 
   void OnAdmin(IncomingRequest request, RespondHook respond) {
     TrafficStatus traffic = traffic_server_.status();
+    std::shared_ptr<const MetricRegistry> metrics;
+    if (PathOf(request.target) == kMetricsPath)
+      metrics = traffic_server_.metrics();
     asio::post(
-        control_, [this, request = std::move(request),
-                   respond = std::move(respond), traffic = std::move(traffic)] {
-          OutgoingResponse response = Answer(request, traffic);
+        control_,
+        [this, request = std::move(request), respond = std::move(respond),
+         traffic = std::move(traffic), metrics = std::move(metrics)] {
+          OutgoingResponse response = metrics && request.method == "GET"
+                                          ? AnswerMetrics(traffic, *metrics)
+                                          : Answer(request, traffic);
           asio::post(traffic_, [respond, response = std::move(response)] {
             respond(response);
           });
         });
   }
 
+  OutgoingResponse AnswerMetrics(const TrafficStatus& traffic,
+                                 const MetricRegistry& metrics) {
+    return {.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+            .body = MetricsText(node_, traffic, metrics, *store_calls_,
+                                control_timers_.Now())};
+  }
+
   OutgoingResponse Answer(const IncomingRequest& request,
                           const TrafficStatus& traffic) {
-    const std::string path = request.target.substr(0, request.target.find('?'));
+    const std::string path = PathOf(request.target);
     if (path == "/-/drain") return AnswerDrain(request);
     if (request.method != "GET")
       return ErrorResponse(405, "only GET is allowed here");
@@ -444,6 +465,7 @@
   PeerClient peer_client_;
   TrafficServer traffic_server_;
   std::shared_ptr<CircuitBreaker> breaker_ = std::make_shared<CircuitBreaker>();
+  std::shared_ptr<CallCounter> store_calls_ = std::make_shared<CallCounter>();
   bool is_vm_list_readable_ = true;
   ChangeLog changes_{Log};
   StoreClient store_;
--- a/libs/metrics/include/pomelomill/metrics/metric_registry.h
+++ b/libs/metrics/include/pomelomill/metrics/metric_registry.h
@@ -47,6 +47,8 @@
 class TimeHistogram {
  public:
   TimeHistogram();
+  TimeHistogram(const TimeHistogram& other);
+  TimeHistogram& operator=(const TimeHistogram&) = delete;
   ~TimeHistogram();
 
   void Observe(double seconds);
@@ -88,6 +90,9 @@
   TimeHistogram& histogram(std::string_view name, std::string_view help,
                            const MetricLabels& labels = {});
 
+  /// A copy that another thread may read while this registry goes on.
+  std::shared_ptr<const MetricRegistry> Snapshot() const;
+
   /// Text exposition format of Prometheus, version 0.0.4; metrics and label
   /// sets are in the order of their names.
   std::string Text() const;
@@ -95,6 +100,8 @@
  private:
   struct Family;
   class Impl;
+  explicit MetricRegistry(std::unique_ptr<Impl> impl);
+
   std::unique_ptr<Impl> impl_;
 };
 
--- a/libs/metrics/src/metric_registry.cc
+++ b/libs/metrics/src/metric_registry.cc
@@ -66,6 +66,10 @@
 };
 
 TimeHistogram::TimeHistogram() : impl_(std::make_unique<Impl>()) {}
+TimeHistogram::TimeHistogram(const TimeHistogram& other)
+    : impl_(std::make_unique<Impl>(*other.impl_)),
+      count_(other.count_),
+      sum_(other.sum_) {}
 TimeHistogram::~TimeHistogram() = default;
 
 void TimeHistogram::Observe(double seconds) {
@@ -172,6 +176,8 @@
 
 MetricRegistry::MetricRegistry(std::size_t max_series)
     : impl_(std::make_unique<Impl>(max_series)) {}
+MetricRegistry::MetricRegistry(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
 MetricRegistry::~MetricRegistry() = default;
 
 Counter& MetricRegistry::counter(std::string_view name, std::string_view help,
@@ -192,6 +198,11 @@
                      &Family::histograms);
 }
 
+std::shared_ptr<const MetricRegistry> MetricRegistry::Snapshot() const {
+  return std::shared_ptr<const MetricRegistry>(
+      new MetricRegistry(std::make_unique<Impl>(*impl_)));
+}
+
 std::string MetricRegistry::Text() const { return impl_->Text(); }
 
 }  // namespace pomelomill
--- a/libs/metrics/test/metric_registry_test.cc
+++ b/libs/metrics/test/metric_registry_test.cc
@@ -60,5 +60,20 @@
   CHECK(registry.Text().find("c{team=\"other\"} 97\n") != std::string::npos);
 }
 
+// Guards against a page that changes while another thread reads it.
+TEST_CASE("a snapshot keeps its values") {
+  MetricRegistry registry;
+  Counter& counter = registry.counter("c", "C");
+  TimeHistogram& histogram = registry.histogram("h_seconds", "H");
+  counter.Add();
+  histogram.Observe(1);
+  const auto snapshot = registry.Snapshot();
+  const std::string before = registry.Text();
+  counter.Add();
+  histogram.Observe(2);
+  CHECK(snapshot->Text() == before);
+  CHECK(registry.Text() != before);
+}
+
 }  // namespace
 }  // namespace pomelomill
--- a/libs/traffic/include/pomelomill/traffic/traffic_server.h
+++ b/libs/traffic/include/pomelomill/traffic/traffic_server.h
@@ -15,6 +15,8 @@
 
 namespace pomelomill {
 
+class MetricRegistry;
+
 struct TrafficOptions {
   RouterOptions router;
   KeyIssuerOptions keys;
@@ -84,6 +86,8 @@
   std::uint16_t port() const;
   std::uint16_t admin_port() const;
   TrafficStatus status() const;
+  /// Requests and their times; a copy that any thread may read.
+  std::shared_ptr<const MetricRegistry> metrics() const;
 
  private:
   class Impl;
--- a/libs/traffic/src/traffic_server.cc
+++ b/libs/traffic/src/traffic_server.cc
@@ -10,6 +10,7 @@
 
 #include "pomelomill/traffic/caller_protocol.h"
 #include "pomelomill/traffic/endpoint_client.h"
+#include "pomelomill/traffic/request_metrics.h"
 
 namespace pomelomill {
 namespace {
@@ -77,7 +78,7 @@
     // Connection 0 stands for peers; the listener counts from 1.
     request.connection = 0;
     auto parsed = ParseCallerRequest(request, *declarations_);
-    if (!parsed) return respond(std::move(parsed.error()));
+    if (!parsed) return Refuse(std::move(parsed.error()), respond);
     const Instant deadline = timers_.Now() + parsed->time_allowed;
     AcceptIssued(std::move(request), *parsed, deadline, std::move(respond));
   }
@@ -108,6 +109,10 @@
     return status;
   }
 
+  std::shared_ptr<const MetricRegistry> metrics() const {
+    return metrics_.Snapshot();
+  }
+
   asio::io_context& context() { return context_; }
 
  private:
@@ -116,6 +121,8 @@
     RespondHook respond;
     /// Reports the outcome of a request with a key.
     std::function<void(KeyOutcome)> on_end;
+    RequestMetrics::Series* metrics = nullptr;
+    Instant arrived_at{};
   };
 
   void OnCaller(IncomingRequest request, RespondHook respond) {
@@ -126,13 +133,13 @@
                        .reason = OutcomeReason::kNoSendPermit,
                        .retry_after = std::chrono::seconds(1)});
       response.closes_connection = true;
-      return respond(std::move(response));
+      return EndEarly({}, EarlyEnd::kStopping, std::move(response), respond);
     }
     if (request.method == "POST" && request.target.starts_with("/-/keys")) {
       return IssueKeys(request, respond);
     }
     auto parsed = ParseCallerRequest(request, *declarations_);
-    if (!parsed) return respond(std::move(parsed.error()));
+    if (!parsed) return Refuse(std::move(parsed.error()), respond);
     const Instant deadline = now + parsed->time_allowed;
     if (parsed->key.empty()) {
       return Accept(std::move(request), *parsed, deadline, std::move(respond));
@@ -147,11 +154,24 @@
                           std::move(respond));
     }
     if (!hooks_.forward_keyed) {
-      return respond(ResponseForKey(KeyState::kForeign, {}));
+      return EndEarly(*parsed, EarlyEnd::kKey,
+                      ResponseForKey(KeyState::kForeign, {}), respond);
     }
     hooks_.forward_keyed(*issuer, std::move(request), std::move(respond));
   }
 
+  /// Responds to a request that the router does not see.
+  void EndEarly(const CallerRequest& parsed, EarlyEnd reason,
+                OutgoingResponse response, const RespondHook& respond) {
+    metrics_.For(parsed.queue, parsed.team, *declarations_)
+        .EndEarly(OutcomeOf(response).outcome, reason);
+    respond(std::move(response));
+  }
+
+  void Refuse(OutgoingResponse response, const RespondHook& respond) {
+    EndEarly({}, EarlyEnd::kBadRequest, std::move(response), respond);
+  }
+
   void IssueKeys(const IncomingRequest& request, const RespondHook& respond) {
     const auto count = KeysAskedFor(request.target);
     if (!count) return respond(ErrorResponse(400, "n is out of range"));
@@ -166,10 +186,12 @@
     const std::string key = parsed.key;
     const KeyDecision decision = issuer_.Begin(key, timers_.Now());
     if (decision.state != KeyState::kMayRun) {
-      return respond(
+      return EndEarly(
+          parsed, EarlyEnd::kKey,
           ResponseForKey(decision.state, decision.state == KeyState::kDone
                                              ? std::optional(decision.outcome)
-                                             : std::nullopt));
+                                             : std::nullopt),
+          respond);
     }
     Accept(std::move(request), parsed, deadline, std::move(respond),
            [this, key](KeyOutcome outcome) {
@@ -180,12 +202,12 @@
   void ClaimThenAccept(IncomingRequest request, CallerRequest parsed,
                        Instant deadline, RespondHook respond) {
     if (!hooks_.claim_key || !hooks_.finish_key) {
-      return respond(ResponseForClaim({}));
+      return EndEarly(parsed, EarlyEnd::kKey, ResponseForClaim({}), respond);
     }
     ++open_claims_;
     const std::string key = parsed.key;
     auto shared = std::make_shared<Pending>(
-        Pending{std::move(request), std::move(respond), {}});
+        Pending{std::move(request), std::move(respond)});
     hooks_.claim_key(key, [self = weak_from_this(), shared, deadline,
                            parsed = std::move(parsed)](ClaimResult claim) {
       const auto it = self.lock();
@@ -198,7 +220,8 @@
                  Instant deadline, const ClaimResult& claim) {
     --open_claims_;
     if (claim.state != ClaimState::kMayRun) {
-      return pending.respond(ResponseForClaim(claim));
+      return EndEarly(parsed, EarlyEnd::kKey, ResponseForClaim(claim),
+                      pending.respond);
     }
     Accept(std::move(pending.request), parsed, deadline,
            std::move(pending.respond),
@@ -213,8 +236,12 @@
     const RequestId id = next_request_;
     next_request_ = next_request_.Next();
     by_connection_[request.connection].insert(id);
-    pending_.emplace(
-        id, Pending{std::move(request), std::move(respond), std::move(on_end)});
+    pending_.emplace(id, Pending{.request = std::move(request),
+                                 .respond = std::move(respond),
+                                 .on_end = std::move(on_end),
+                                 .metrics = &metrics_.For(
+                                     parsed.queue, parsed.team, *declarations_),
+                                 .arrived_at = deadline - parsed.time_allowed});
     Feed(RequestArrived{.request = id,
                         .queue = parsed.queue,
                         .team = parsed.team,
@@ -232,6 +259,7 @@
       // A keyed request goes on without its caller, so that a repeat of the
       // key learns the outcome.
       if (pending == pending_.end() || pending->second.on_end) continue;
+      pending->second.metrics->EndEarly({}, EarlyEnd::kCancelled);
       pending_.erase(pending);
       Feed(RequestCancelled{id});
     }
@@ -264,6 +292,8 @@
     if (found == pending_.end()) return;
     const RespondHook respond = std::move(found->second.respond);
     const auto on_end = std::move(found->second.on_end);
+    found->second.metrics->End(action.outcome, action.reason,
+                               timers_.Now() - found->second.arrived_at);
     const std::uint64_t connection = found->second.request.connection;
     const auto requests = by_connection_.find(connection);
     if (requests != by_connection_.end()) {
@@ -313,6 +343,7 @@
   TrafficHooks hooks_;
   Router router_;
   KeyIssuer issuer_;
+  RequestMetrics metrics_;
   HttpClient client_;
   EndpointClient endpoints_;
   std::shared_ptr<const Declarations> declarations_;
@@ -367,5 +398,8 @@
 std::uint16_t TrafficServer::port() const { return impl_->port(); }
 std::uint16_t TrafficServer::admin_port() const { return impl_->admin_port(); }
 TrafficStatus TrafficServer::status() const { return impl_->status(); }
+std::shared_ptr<const MetricRegistry> TrafficServer::metrics() const {
+  return impl_->metrics();
+}
 
 }  // namespace pomelomill
