--- a/app/explain_command.cc
+++ b/app/explain_command.cc
@@ -11,21 +11,21 @@
 
 using Json = nlohmann::json;
 
+std::string ValueText(const Json& json) {
+  return json.is_string() ? json.get<std::string>() : json.dump();
+}
+
 std::string Text(const Json& json, const char* name) {
   const auto it = json.find(name);
-  if (it == json.end()) return "";
-  return it->is_string() ? it->get<std::string>() : it->dump();
+  return it == json.end() ? "" : ValueText(*it);
 }
 
 void PrintDecision(const Json& decision, std::ostream& out) {
   out << '#' << Text(decision, "sequence") << ' ' << Text(decision, "choice")
       << ": " << Text(decision, "reason") << '\n';
   if (const auto facts = decision.find("facts"); facts != decision.end()) {
-    for (const Json& it : *facts) {
-      if (!it.is_object()) continue;
-      out << "  fact " << Text(it, "name") << " = " << Text(it, "value")
-          << '\n';
-    }
+    for (const auto& [name, value] : facts->items())
+      out << "  fact " << name << " = " << ValueText(value) << '\n';
   }
   const auto others = decision.find("alternatives");
   if (others == decision.end()) return;
--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "change_log.h"
+#include "http_call.h"
 #include "log.h"
 #include "metrics_page.h"
 #include "pomelomill/base/asio_timer_service.h"
@@ -89,20 +90,6 @@
   return target.substr(0, target.find('?'));
 }
 
-/// Value of one parameter of a request target's query; empty when absent.
-std::string QueryValue(const std::string& target, const std::string& name) {
-  const auto query = target.find('?');
-  if (query == std::string::npos) return "";
-  std::size_t at = query + 1;
-  while (at < target.size()) {
-    const auto end = std::min(target.find('&', at), target.size());
-    const std::string item = target.substr(at, end - at);
-    if (item.starts_with(name + "=")) return item.substr(name.size() + 1);
-    at = end + 1;
-  }
-  return "";
-}
-
 std::vector<QueueTotals> TotalsOf(const TrafficStatus& status) {
   std::vector<QueueTotals> totals;
   for (const QueueStatus& it : status.queues) {
