Let drain work at any entry

Cause: an entry without the control lease refused a drain and did not say whom to ask, so scripts had to look for the holder first.

Change: each entry registers its admin address in its key in the store.

Conclusion: the holder need not be looked up.

--- a/app/entry_call.cc
+++ b/app/entry_call.cc
@@ -33,7 +33,7 @@
         << (may_have_effect ? "; the call may or may not have taken effect"
                             : "")
         << '\n';
-    return {may_have_effect ? kExitUnknown : kExitUnavailable, Json()};
+    return {may_have_effect ? kExitUnknown : kExitUnavailable, 0, Json()};
   }
   Json body = Json::parse(result.response.body, nullptr, false);
   const int status = result.response.status;
@@ -42,9 +42,9 @@
     if (body.is_object() && body.contains("error"))
       err << ", " << ValueText(body["error"]);
     err << '\n';
-    return {kExitFailed, Json()};
+    return {kExitFailed, status, std::move(body)};
   }
-  return {kExitOk, std::move(body)};
+  return {kExitOk, status, std::move(body)};
 }
 
 void PrintLines(const Json& json, std::ostream& out, int indent) {
--- a/app/entry_call.h
+++ b/app/entry_call.h
@@ -10,6 +10,9 @@
 struct EntryAnswer {
   /// An ExitCode; kExitOk when `body` is valid.
   int exit_code = 0;
+  /// Of the HTTP response; 0 without one.
+  int status = 0;
+  /// Also that of an error response, when it is JSON.
   nlohmann::json body;
 };
 
--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -233,6 +233,7 @@
     settings.region = settings_.region;
     settings.peer_address = settings_.peer_address;
     settings.seeds = settings_.peers;
+    settings.admin_address = settings_.admin_address;
     settings.membership.lease_ttl = settings_.entry_lease;
     settings.seed = seed_;
     return settings;
@@ -410,9 +411,13 @@
       return ErrorResponse(405, "only POST is allowed here");
     const Status status =
         node_.controller().DrainVm(VmId(QueryValue(request.target, "vm")));
-    if (status) return Json("{\"accepted\":true}");
-    const int code = status.error() == ControlError::kNotHolder ? 409 : 404;
-    return ErrorResponse(code, status.error().message());
+    const EntryStatus entry = node_.status();
+    if (status) return Json(DrainAcceptedJson(entry));
+    if (status.error() != ControlError::kNotHolder)
+      return ErrorResponse(404, status.error().message());
+    OutgoingResponse response = Json(NotHolderJson(entry));
+    response.status = 409;
+    return response;
   }
 
   static OutgoingResponse Json(std::string body) {
--- a/app/status_pages.cc
+++ b/app/status_pages.cc
@@ -88,6 +88,8 @@
           {"permit", Name(s.permit.basis)},
           {"controls_region", s.is_holder},
           {"control_holder", s.holder.value()},
+          {"control_entry", s.holder_entry.value()},
+          {"control_admin", s.holder_admin},
           {"config_revision", s.config_revision.value()},
           {"state_version", s.state_version.value()},
           {"members", s.members},
@@ -186,6 +188,27 @@
   return json.dump();
 }
 
+std::string DrainAcceptedJson(const EntryStatus& entry) {
+  return Json{{"accepted", true}, {"entry", entry.entry.value()}}.dump();
+}
+
+std::string NotHolderJson(const EntryStatus& entry) {
+  const std::string holder = entry.holder_entry.empty()
+                                 ? entry.holder.value()
+                                 : entry.holder_entry.value();
+  std::string error = "this entry does not hold the control lease; ";
+  if (holder.empty()) {
+    error += "no holder is known";
+  } else {
+    error += "the holder is " + holder;
+    if (!entry.holder_admin.empty()) error += " at " + entry.holder_admin;
+  }
+  return Json{{"error", error},
+              {"control_entry", holder},
+              {"control_admin", entry.holder_admin}}
+      .dump();
+}
+
 std::string ExplainJson(const DecisionLog& log, const std::string& kind,
                         const std::string& name) {
   Json decisions = Json::array();
--- a/libs/entry/include/pomelomill/entry/entry_node.h
+++ b/libs/entry/include/pomelomill/entry/entry_node.h
@@ -34,6 +34,9 @@
   /// "ip:port" of this entry's gRPC server, and of entries to ask first.
   std::string peer_address;
   std::vector<std::string> seeds;
+  /// "HOST:PORT" of this entry's admin page, for commands that another entry
+  /// sends here.
+  std::string admin_address;
   MembershipSettings membership;
   Duration store_timeout = std::chrono::seconds(2);
   Duration peer_timeout = std::chrono::milliseconds(800);
@@ -84,6 +87,9 @@
   Permit permit;
   bool is_holder = false;
   IncarnationId holder;
+  /// The holder's entry id and admin address; empty when not known.
+  EntryId holder_entry;
+  std::string holder_admin;
   Revision config_revision;
   Version state_version;
   std::size_t members = 0;
--- a/libs/entry/include/pomelomill/entry/registrar.h
+++ b/libs/entry/include/pomelomill/entry/registrar.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,6 +25,10 @@
 /// are left out.
 std::vector<MemberInfo> MembersOf(const std::vector<StoreItem>& listing);
 
+/// Admin address of each incarnation in such a listing that names one.
+std::map<IncarnationId, std::string> AdminAddressesOf(
+    const std::vector<StoreItem>& listing);
+
 /// Keeps this entry's key in the store, attached to a lease of its own. The
 /// key is created with version 0 expected, so two incarnations of one entry
 /// are never registered at the same time.
@@ -31,6 +36,8 @@
  public:
   struct Settings {
     MemberInfo self;
+    /// "HOST:PORT" that commands reach this entry at; may be empty.
+    std::string admin_address;
     Duration ttl = std::chrono::seconds(10);
     Duration timeout = std::chrono::seconds(2);
     /// Pause before a failed call is made again.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -56,6 +56,7 @@
                        },
                        {.wait = settings_.watch_wait}),
         registrar_({.self = self_,
+                    .admin_address = settings_.admin_address,
                     .ttl = settings_.membership.lease_ttl,
                     .timeout = settings_.store_timeout},
                    store, timers, RegistrarHooks()),
@@ -120,13 +121,20 @@
   }
 
   EntryStatus status() const {
+    const IncarnationId holder = controller_.holder();
+    const Member* const member = table_.Find(holder);
+    const bool is_own = holder == settings_.incarnation;
     return {.entry = settings_.entry,
             .incarnation = settings_.incarnation,
             .is_ready = is_ready(),
             .is_leaving = is_leaving_,
             .permit = permit_.Check(timers_.Now()),
             .is_holder = controller_.is_holder(),
-            .holder = controller_.holder(),
+            .holder = holder,
+            .holder_entry = is_own              ? settings_.entry
+                            : member != nullptr ? member->info.entry
+                                                : EntryId(),
+            .holder_admin = AdminAddress(holder),
             .config_revision = config_.revision(),
             .state_version = state_.number(),
             .members = table_.members().size(),
@@ -272,12 +280,23 @@
 
   // Membership.
 
+  std::string AdminAddress(const IncarnationId& incarnation) const {
+    if (incarnation == settings_.incarnation) return settings_.admin_address;
+    const auto it = admin_addresses_.find(incarnation);
+    return it == admin_addresses_.end() ? "" : it->second;
+  }
+
   /// The holder of the control lease lists often, to see which leases have
-  /// lapsed; the others only to learn addresses.
+  /// lapsed; the others only to learn addresses, and often until they know
+  /// that of the holder.
   void ListEntries() {
     After(settings_.holder_list_interval, &Impl::ListEntries);
     const Instant now = timers_.Now();
-    if (now < next_listing_ && !controller_.is_holder()) return;
+    const IncarnationId holder = controller_.holder();
+    const bool lacks_address = !settings_.admin_address.empty() &&
+                               !holder.empty() && AdminAddress(holder).empty();
+    if (now < next_listing_ && !controller_.is_holder() && !lacks_address)
+      return;
     next_listing_ = now + settings_.list_interval;
     const Version known = state_.number();
     store_.range(
@@ -285,6 +304,7 @@
         Guard<std::vector<StoreItem>>(
             [this, known, now](const Result<std::vector<StoreItem>>& listing) {
               if (listing) {
+                admin_addresses_ = AdminAddressesOf(*listing);
                 Listed(MembersOf(*listing), known, now);
               } else {
                 next_listing_ = timers_.Now();
@@ -501,6 +521,8 @@
   Version shares_changed_at_;
   Instant permit_sent_{};
   Instant next_listing_{};
+  /// As of the latest listing.
+  std::map<IncarnationId, std::string> admin_addresses_;
 
   KeyWatcher config_watcher_;
   KeyWatcher state_watcher_;
--- a/libs/entry/src/registrar.cc
+++ b/libs/entry/src/registrar.cc
@@ -9,11 +9,13 @@
 namespace pomelomill {
 namespace {
 
-std::string Encode(const MemberInfo& info, const LeaseId& lease) {
+std::string Encode(const MemberInfo& info, const std::string& admin_address,
+                   const LeaseId& lease) {
   return nlohmann::json{{"entry", info.entry.value()},
                         {"incarnation", info.incarnation.value()},
                         {"region", info.region.value()},
                         {"address", info.address},
+                        {"admin", admin_address},
                         {"lease", lease.value()}}
       .dump();
 }
@@ -45,6 +47,19 @@
   return members;
 }
 
+std::map<IncarnationId, std::string> AdminAddressesOf(
+    const std::vector<StoreItem>& listing) {
+  std::map<IncarnationId, std::string> addresses;
+  for (const StoreItem& item : listing) {
+    const auto json = nlohmann::json::parse(item.value, nullptr, false);
+    const IncarnationId incarnation(Field(json, "incarnation"));
+    std::string address = Field(json, "admin");
+    if (incarnation.empty() || address.empty()) continue;
+    addresses.emplace(incarnation, std::move(address));
+  }
+  return addresses;
+}
+
 class Registrar::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(Settings settings, StoreClient store, TimerService& timers, Hooks hooks)
@@ -125,8 +140,8 @@
   void CreateKey() {
     const LeaseId lease = keeper_.lease();
     if (lease.empty()) return;
-    store_.put(key_, Encode(settings_.self, lease), Version(), lease,
-               settings_.timeout,
+    store_.put(key_, Encode(settings_.self, settings_.admin_address, lease),
+               Version(), lease, settings_.timeout,
                Guard<Version>([this, lease](const Result<Version>& version) {
                  if (version) {
                    Registered(lease, *version);
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -146,9 +146,8 @@
 load_pid=${pid_of[load]}
 
 sleep $((seconds / 10))
-port=$(holder_port)
 drained=lom-49
-"$bin/app/pomelomill" drain $drained --entry 127.0.0.1:"$port" ||
+"$bin/app/pomelomill" drain $drained --entry 127.0.0.1:18102 ||
   echo "run.sh: $drained is already in a wave"
 
 sleep $((seconds / 10))
