--- a/app/test/log_test.cc
+++ b/app/test/log_test.cc
@@ -40,7 +40,7 @@
   const auto observe = [&](const EntrySnapshot& next) {
     lines.clear();
     log.Observe(next);
-    const auto seen = lines;
+    auto seen = lines;
     lines.clear();
     log.Observe(next);
     CHECK(lines.empty());
--- a/app/test/region_commands_test.cc
+++ b/app/test/region_commands_test.cc
@@ -2,11 +2,13 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "exit_code.h"
 #include "http_call.h"
+#include "pomelomill/config.h"
 #include "region_fixture.h"
 
 namespace pomelomill {
@@ -18,6 +20,20 @@
   return text.find(part) != std::string::npos;
 }
 
+/// The words in [a-z_]+ that follow each `start`.
+std::set<std::string> NamesAfter(const std::string& text,
+                                 const std::string& start) {
+  std::set<std::string> names;
+  for (auto at = text.find(start); at != std::string::npos;
+       at = text.find(start, at + 1)) {
+    const auto begin = at + start.size();
+    const auto end =
+        text.find_first_not_of("abcdefghijklmnopqrstuvwxyz_", begin);
+    names.insert(text.substr(begin, end - begin));
+  }
+  return names;
+}
+
 /// An address that nothing listens on: port 1 of loopback.
 const std::string kNoEntry = "127.0.0.1:1";
 
@@ -115,18 +131,18 @@
       return a["controls_region"] != b["controls_region"] &&
              a["control_entry"] == b["control_entry"] &&
              a["control_admin"] == b["control_admin"] &&
-             a["control_admin"] != "";
+             !a.value("control_admin", std::string()).empty() &&
+             a["ready"] == true;
     }));
     const Json status = StatusOf(*region.a);
     CHECK(status["entry"] == "entry-a");
-    CHECK(status["ready"] == true);
     CHECK(status["config_revision"] == 1);
     CHECK(status["region"]["pools"]["proofs"]["vms"] == 2);
     CHECK(status["queues"].contains("proof/layout"));
     const CommandOutcome text =
         RunCommandHere({"status", "--entry", region.a->admin()});
     CHECK(text.code == kExitOk);
-    CHECK(Has(text.out, "\nready: true\n"));
+    CHECK(text.out.starts_with("config_revision: 1\n"));
     CHECK(Has(text.out, "\ncontrol_entry: entry-"));
     CHECK(text.err.empty());
   }
@@ -185,6 +201,38 @@
     CHECK(Json::parse(json.out)["revision"] == 3);
   }
 
+  SUBCASE("the metrics page and the operators' page have the same metrics") {
+    // Requests are not run while the entry's slot share has not grown yet.
+    REQUIRE(Eventually([&] {
+      return region.a->Call("/proof/layout/1").response.status == 200;
+    }));
+    std::string text;
+    REQUIRE(Eventually([&] {
+      const HttpResult page = region.a->Admin("GET", "/-/metrics");
+      text = page.response.body;
+      return page.response.status == 200 &&
+             !Has(text, "pomelomill_send_permit_seconds 0\n");
+    }));
+    CAPTURE(text);
+    CHECK(Has(text,
+              "pomelomill_requests_total{queue=\"proof/layout\",team=\"none\","
+              "outcome=\"answered\",reason=\"complete\"} 1\n"));
+    CHECK(Has(text, "pomelomill_pool_free_slots{pool=\"proofs\"} "));
+    CHECK(Has(text, "pomelomill_pool_ejected_endpoints{pool=\"files\"} 0\n"));
+    CHECK(Has(text, "pomelomill_config_revision 1\n"));
+    const std::string granted =
+        "pomelomill_store_calls_total{kind=\"grant_lease\","
+        "result=\"succeeded\"} ";
+    CHECK(Has(text, granted));
+    CHECK_FALSE(Has(text, granted + "0\n"));
+    const std::string documented =
+        ReadFile(std::string(POMELOMILL_SOURCE_DIR) + "/docs/operators.md")
+            .value();
+    const auto documented_names = NamesAfter(documented, "| `pomelomill_");
+    CHECK(NamesAfter(text, "# TYPE pomelomill_") == documented_names);
+    CHECK(documented_names.size() == 11);
+  }
+
   SUBCASE("the log and the end of an entry") {
     const auto has_line = [&](const std::string& text) {
       return Has(region.a->log(), text) || Has(region.b->log(), text);
@@ -228,10 +276,12 @@
   CHECK(drain.code == kExitFailed);
   CHECK(Has(drain.err, "response 409"));
   CHECK(Has(drain.err, "no holder is known"));
-  const CommandOutcome explain = RunCommandHere(
-      {"explain", "vm", "lom-01", "--entry", entry.admin(), "--json"});
-  CHECK(explain.code == kExitOk);
-  CHECK(Json::parse(explain.out)["decisions"].empty());
+  for (const char* kind : {"vm", "pool", "wave"}) {
+    const CommandOutcome explain = RunCommandHere(
+        {"explain", kind, "lom-01", "--entry", entry.admin(), "--json"});
+    CHECK(explain.code == kExitOk);
+    CHECK(Json::parse(explain.out)["decisions"].empty());
+  }
   const std::string file = folder.Write("fleet.ini", RegionDeclarations());
   const std::vector<std::string> apply = {
       "apply",  file,      "--store",     servers.store_url(),
