--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -6,13 +6,16 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <ctime>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
 #include <thread>
 #include <utility>
 
+#include "change_log.h"
+#include "http_call.h"
+#include "log.h"
+#include "metrics_page.h"
 #include "pomelomill/base/asio_timer_service.h"
 #include "pomelomill/control.h"
 #include "pomelomill/entry.h"
@@ -81,18 +84,10 @@
   return health;
 }
 
-/// Value of one parameter of a request target's query; empty when absent.
-std::string QueryValue(const std::string& target, const std::string& name) {
-  const auto query = target.find('?');
-  if (query == std::string::npos) return "";
-  std::size_t at = query + 1;
-  while (at < target.size()) {
-    const auto end = std::min(target.find('&', at), target.size());
-    const std::string item = target.substr(at, end - at);
-    if (item.starts_with(name + "=")) return item.substr(name.size() + 1);
-    at = end + 1;
-  }
-  return "";
+constexpr const char* kMetricsPath = "/-/metrics";
+
+std::string PathOf(const std::string& target) {
+  return target.substr(0, target.find('?'));
 }
 
 std::vector<QueueTotals> TotalsOf(const TrafficStatus& status) {
@@ -130,14 +125,20 @@
 
   int Run() {
     if (!peer_server_.Start(settings_.peer_address)) {
-      std::cerr << "cannot listen on " << settings_.peer_address << "\n";
+      Log(LogPart::kApp, LogLevel::kError,
+          "cannot listen on " + settings_.peer_address);
       return 1;
     }
     if (!traffic_server_.Start()) {
-      std::cerr << "cannot listen on " << settings_.caller_address << " or "
-                << settings_.admin_address << "\n";
+      Log(LogPart::kApp, LogLevel::kError,
+          "cannot listen on " + settings_.caller_address + " or " +
+              settings_.admin_address);
       return 1;
     }
+    Log(LogPart::kApp, LogLevel::kInfo,
+        "started as " + incarnation_.value() + ", callers " +
+            settings_.caller_address + ", peers " + settings_.peer_address +
+            ", admin " + settings_.admin_address);
     signals_.async_wait([this](std::error_code ec, int) {
       if (!ec) BeginStop();
     });
@@ -148,6 +149,7 @@
     traffic_guard.reset();
     traffic_.stop();
     traffic_thread.join();
+    Log(LogPart::kApp, LogLevel::kInfo, "stopped");
     return 0;
   }
 
@@ -158,12 +160,34 @@
   }
 
   StoreClient MakeStore() {
-    return WithBreaker(HttpStoreClient(http_, settings_.store_url),
-                       control_timers_, std::make_shared<CircuitBreaker>());
+    return WithBreaker(
+        WithCounter(HttpStoreClient(http_, settings_.store_url), store_calls_),
+        control_timers_, breaker_);
   }
 
   PlatformClient MakePlatform() {
-    return MakeHttpPlatformClient(http_, settings_.platform_url);
+    PlatformClient client =
+        MakeHttpPlatformClient(http_, settings_.platform_url);
+    client.list_vms = [this, list_vms = client.list_vms](
+                          Duration timeout,
+                          PlatformCallback<std::vector<VmRecord>> done) {
+      list_vms(timeout, [this, done = std::move(done)](
+                            Result<std::vector<VmRecord>> listed) {
+        LogVmList(listed.has_value());
+        done(std::move(listed));
+      });
+    };
+    return client;
+  }
+
+  void LogVmList(bool is_readable) {
+    if (is_readable == is_vm_list_readable_) return;
+    is_vm_list_readable_ = is_readable;
+    if (is_readable) {
+      Log(LogPart::kPlatform, LogLevel::kInfo, "VM list readable again");
+    } else {
+      Log(LogPart::kPlatform, LogLevel::kWarning, "VM list unreadable");
+    }
   }
 
   TrafficOptions MakeTrafficOptions() const {
@@ -182,40 +206,46 @@
   }
 
   TrafficHooks MakeTrafficHooks() {
-    return {.on_report =
-                [this](LoadReport load) {
-                  TrafficReport report{
-                      .load = std::move(load),
-                      .queues = TotalsOf(traffic_server_.status())};
-                  asio::post(control_, [this, report = std::move(report)] {
-                    node_.TrafficReported(report);
-                  });
-                },
-            .on_admin =
-                [this](IncomingRequest request, RespondHook respond) {
-                  OnAdmin(std::move(request), std::move(respond));
-                },
-            .forward_keyed =
-                [this](IncarnationId issuer, IncomingRequest request,
-                       RespondHook respond) {
-                  asio::post(control_, [this, issuer = std::move(issuer),
-                                        request = std::move(request),
-                                        respond = std::move(respond)] {
-                    ForwardKeyed(issuer, request, respond);
-                  });
-                },
-            .claim_key =
-                [this](std::string key, std::function<void(ClaimResult)> done) {
-                  asio::post(control_,
-                             [this, key = std::move(key),
-                              done = std::move(done)] { ClaimKey(key, done); });
-                },
-            .finish_key =
-                [this](std::string key, KeyOutcome outcome) {
-                  asio::post(control_, [this, key = std::move(key), outcome] {
-                    claims_.Finish(key, outcome);
-                  });
-                }};
+    return {
+        .on_report =
+            [this](LoadReport load) {
+              TrafficReport report{
+                  .load = std::move(load),
+                  .queues = TotalsOf(traffic_server_.status())};
+              asio::post(control_, [this, report = std::move(report)] {
+                node_.TrafficReported(report);
+                changes_.Observe({.entry = node_.status(),
+                                  .state = node_.region_state(),
+                                  .ejected = report.load.ejected,
+                                  .is_store_reachable = !breaker_->is_open()});
+              });
+            },
+        .on_admin =
+            [this](IncomingRequest request, RespondHook respond) {
+              OnAdmin(std::move(request), std::move(respond));
+            },
+        .forward_keyed =
+            [this](IncarnationId issuer, IncomingRequest request,
+                   RespondHook respond) {
+              asio::post(control_, [this, issuer = std::move(issuer),
+                                    request = std::move(request),
+                                    respond = std::move(respond)] {
+                ForwardKeyed(issuer, request, respond);
+              });
+            },
+        .claim_key =
+            [this](std::string key, std::function<void(ClaimResult)> done) {
+              asio::post(control_,
+                         [this, key = std::move(key), done = std::move(done)] {
+                           ClaimKey(key, done);
+                         });
+            },
+        .finish_key =
+            [this](std::string key, KeyOutcome outcome) {
+              asio::post(control_, [this, key = std::move(key), outcome] {
+                claims_.Finish(key, outcome);
+              });
+            }};
   }
 
   void ClaimKey(const std::string& key,
@@ -232,6 +262,7 @@
     settings.region = settings_.region;
     settings.peer_address = settings_.peer_address;
     settings.seeds = settings_.peers;
+    settings.admin_address = settings_.admin_address;
     settings.membership.lease_ttl = settings_.entry_lease;
     settings.seed = seed_;
     return settings;
@@ -367,19 +398,32 @@
 
   void OnAdmin(IncomingRequest request, RespondHook respond) {
     TrafficStatus traffic = traffic_server_.status();
+    std::shared_ptr<const MetricRegistry> metrics;
+    if (PathOf(request.target) == kMetricsPath)
+      metrics = traffic_server_.metrics();
     asio::post(
-        control_, [this, request = std::move(request),
-                   respond = std::move(respond), traffic = std::move(traffic)] {
-          OutgoingResponse response = Answer(request, traffic);
+        control_,
+        [this, request = std::move(request), respond = std::move(respond),
+         traffic = std::move(traffic), metrics = std::move(metrics)] {
+          OutgoingResponse response = metrics && request.method == "GET"
+                                          ? AnswerMetrics(traffic, *metrics)
+                                          : Answer(request, traffic);
           asio::post(traffic_, [respond, response = std::move(response)] {
             respond(response);
           });
         });
   }
 
+  OutgoingResponse AnswerMetrics(const TrafficStatus& traffic,
+                                 const MetricRegistry& metrics) {
+    return {.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+            .body = MetricsText(node_, traffic, metrics, *store_calls_,
+                                control_timers_.Now())};
+  }
+
   OutgoingResponse Answer(const IncomingRequest& request,
                           const TrafficStatus& traffic) {
-    const std::string path = request.target.substr(0, request.target.find('?'));
+    const std::string path = PathOf(request.target);
     if (path == "/-/drain") return AnswerDrain(request);
     if (request.method != "GET")
       return ErrorResponse(405, "only GET is allowed here");
@@ -399,9 +443,13 @@
       return ErrorResponse(405, "only POST is allowed here");
     const Status status =
         node_.controller().DrainVm(VmId(QueryValue(request.target, "vm")));
-    if (status) return Json("{\"accepted\":true}");
-    const int code = status.error() == ControlError::kNotHolder ? 409 : 404;
-    return ErrorResponse(code, status.error().message());
+    const EntryStatus entry = node_.status();
+    if (status) return Json(DrainAcceptedJson(entry));
+    if (status.error() != ControlError::kNotHolder)
+      return ErrorResponse(404, status.error().message());
+    OutgoingResponse response = Json(NotHolderJson(entry));
+    response.status = 409;
+    return response;
   }
 
   static OutgoingResponse Json(std::string body) {
@@ -412,6 +460,7 @@
   // Graceful stop.
 
   void BeginStop() {
+    Log(LogPart::kApp, LogLevel::kInfo, "stopping");
     node_.BeginLeaving();
     // A second signal ends the process without waiting for requests.
     signals_.async_wait([this](std::error_code ec, int) {
@@ -419,8 +468,10 @@
     });
     asio::post(traffic_, [this] {
       traffic_server_.Drain([this] {
-        asio::post(control_,
-                   [this] { node_.Leave([this] { control_.stop(); }); });
+        asio::post(control_, [this] {
+          Log(LogPart::kTraffic, LogLevel::kInfo, "requests in hand finished");
+          node_.Leave([this] { control_.stop(); });
+        });
       });
     });
   }
@@ -437,6 +488,10 @@
   DecisionLog decisions_;
   PeerClient peer_client_;
   TrafficServer traffic_server_;
+  std::shared_ptr<CircuitBreaker> breaker_ = std::make_shared<CircuitBreaker>();
+  std::shared_ptr<CallCounter> store_calls_ = std::make_shared<CallCounter>();
+  bool is_vm_list_readable_ = true;
+  ChangeLog changes_{Log};
   StoreClient store_;
   KeyClaims claims_;
   EntryNode node_;
