Let connections of the fake endpoint outlive it

Cause: a connection with a waiting operation is destroyed with the context, after its endpoint, and then counted itself off in the endpoint that was gone. traffic_modes failed with a use after free under the address sanitizer whenever a connection was still open at the end (5 of 5 runs on a busy machine; it passed on a quiet one).

Change: connections share the counter with their endpoint.

--- a/tools/fake_endpoint/connection.cc
+++ b/tools/fake_endpoint/connection.cc
@@ -7,15 +7,20 @@
 
 namespace pomelomill::fake_endpoint {
 
-Connection::Connection(EndpointPort& owner, asio::ip::tcp::socket socket)
-    : owner_(owner), socket_(std::move(socket)) {
+Connection::Connection(EndpointPort& owner,
+                       std::shared_ptr<std::size_t> open_connections,
+                       asio::ip::tcp::socket socket)
+    : owner_(owner),
+      open_connections_(std::move(open_connections)),
+      socket_(std::move(socket)) {
+  ++*open_connections_;
   std::error_code ec;
   socket_.set_option(asio::ip::tcp::no_delay(true), ec);
   http_parser_init(&parser_, HTTP_REQUEST);
   parser_.data = this;
 }
 
-Connection::~Connection() { owner_.OnConnectionClosed(); }
+Connection::~Connection() { --*open_connections_; }
 
 int Connection::OnUrl(http_parser* parser, const char* at, std::size_t n) {
   static_cast<Connection*>(parser->data)->target_.append(at, n);
--- a/tools/fake_endpoint/connection.h
+++ b/tools/fake_endpoint/connection.h
@@ -15,7 +15,9 @@
 /// a real server it can cut a response and close at any point.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(EndpointPort& owner, asio::ip::tcp::socket socket);
+  /// `open_connections` counts this connection as long as it lives.
+  Connection(EndpointPort& owner, std::shared_ptr<std::size_t> open_connections,
+             asio::ip::tcp::socket socket);
   ~Connection();
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -34,6 +36,7 @@
   void Write(const EndpointPort::Reply& reply);
 
   EndpointPort& owner_;
+  std::shared_ptr<std::size_t> open_connections_;
   asio::ip::tcp::socket socket_;
   http_parser parser_{};
   std::array<char, 16384> buf_{};
--- a/tools/fake_endpoint/endpoint_port.cc
+++ b/tools/fake_endpoint/endpoint_port.cc
@@ -50,16 +50,16 @@
 }
 
 void EndpointPort::Accept() {
-  acceptor_.async_accept(
-      [this](std::error_code ec, asio::ip::tcp::socket socket) {
-        if (ec) return;
-        const bool is_full = open_connections_ >= options_.connections;
-        if (!is_full) {
-          ++open_connections_;
-          std::make_shared<Connection>(*this, std::move(socket))->Start();
-        }
-        Accept();
-      });
+  acceptor_.async_accept([this](std::error_code ec,
+                                asio::ip::tcp::socket socket) {
+    if (ec) return;
+    const bool is_full = *open_connections_ >= options_.connections;
+    if (!is_full) {
+      std::make_shared<Connection>(*this, open_connections_, std::move(socket))
+          ->Start();
+    }
+    Accept();
+  });
 }
 
 Duration EndpointPort::ServiceTime() {
--- a/tools/fake_endpoint/endpoint_port.h
+++ b/tools/fake_endpoint/endpoint_port.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -83,7 +84,6 @@
   Reply Handle(const std::string& method, const std::string& target,
                const std::string& id, const std::string& key, bool is_reused);
   void OnRunEnded(const Reply& reply, bool is_answered);
-  void OnConnectionClosed() { --open_connections_; }
   /// Highest number of requests that ran at once.
   std::uint32_t peak() const { return peak_; }
 
@@ -107,7 +107,10 @@
   Instant warm_at_{};
   std::uint32_t active_ = 0;
   std::uint32_t peak_ = 0;
-  std::uint32_t open_connections_ = 0;
+  /// Each connection holds a copy. Connections end after this object when the
+  /// context is destroyed with operations that are still waiting.
+  std::shared_ptr<std::size_t> open_connections_ =
+      std::make_shared<std::size_t>(0);
   std::uint64_t refused_ = 0;
   /// Requests that ran when the VM went down.
   std::uint64_t cut_ = 0;
