Print the product's decisions in the measuring model

Cause: the buffer cost and the time of a wave miss their targets, and the figures alone do not show which decision causes it. Conclusion: no behaviour changes.

--- a/tools/measure/src/model.h
+++ b/tools/measure/src/model.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "pomelomill/base/decision_log.h"
 #include "pomelomill/base/random.h"
 #include "scenario.h"
 
@@ -76,6 +77,8 @@
 
   /// Called every `interval` seconds of virtual time.
   std::function<void(Model&)> on_tick;
+  /// Receives the decisions of the product's planner and wave scheduler.
+  std::function<void(const Decision&)> on_decision;
   double tick_interval_s = 5;
   /// Seconds after which a draining VM is stopped with requests in flight;
   /// negative: never.
--- a/tools/measure/src/policies.cc
+++ b/tools/measure/src/policies.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "product_policy.h"
 
@@ -138,9 +139,11 @@
 }
 
 RunResult RunProduct(const Scenario& scenario,
-                     const std::vector<Request>& workload, std::uint64_t seed) {
+                     const std::vector<Request>& workload, std::uint64_t seed,
+                     std::function<void(const Decision&)> on_decision) {
   Model model(scenario, workload, Routing::kEarliestDeadline,
               DeclaredVms(scenario), seed);
+  model.on_decision = std::move(on_decision);
   ProductPolicy policy(model);
   model.on_tick = [&](Model& it) { policy.Act(it); };
   return model.Run();
--- a/tools/measure/src/policies.h
+++ b/tools/measure/src/policies.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 #include "model.h"
@@ -15,8 +16,11 @@
 std::vector<ModelVm> EqualVms(const Scenario& scenario, int count);
 
 /// Planner and maintenance of the product, earliest deadline first.
-RunResult RunProduct(const Scenario& scenario,
-                     const std::vector<Request>& workload, std::uint64_t seed);
+/// `on_decision` receives every decision.
+RunResult RunProduct(
+    const Scenario& scenario, const std::vector<Request>& workload,
+    std::uint64_t seed,
+    std::function<void(const Decision&)> on_decision = nullptr);
 
 /// Static pools, random routing, a wave of fixed size.
 RunResult RunStatic(const Scenario& scenario,
--- a/tools/measure/src/product_policy.cc
+++ b/tools/measure/src/product_policy.cc
@@ -156,6 +156,9 @@
     const auto& remaining = step.estimates.begin()->second.remaining;
     if (remaining) result.first_estimate_s = ToSeconds(*remaining);
   }
+  if (model.on_decision) {
+    for (const Decision& it : step.decisions) model.on_decision(it);
+  }
   for (const WaveAction& it : step.actions) {
     if (it.kind == WaveActionKind::kStart)
       Open(model, it.vm, it.intent_kind, PoolId(), it.wave);
@@ -178,6 +181,9 @@
   RunResult& result = model.result();
   result.longest_decision_s =
       std::max(result.longest_decision_s, Elapsed(start));
+  if (model.on_decision) {
+    for (const Decision& it : plan.decisions) model.on_decision(it);
+  }
   for (const VmId& it : plan.starts)
     Open(model, it, IntentKind::kStart, PoolId(), WaveId());
   for (const PoolMove& it : plan.moves)
--- a/tools/measure/src/report.cc
+++ b/tools/measure/src/report.cc
@@ -181,4 +181,20 @@
   return true;
 }
 
+bool TraceScenario(const std::string& path, std::uint64_t seed) {
+  const auto read = ReadScenario(path);
+  if (!read) return false;
+  const std::vector<Request> workload = MakeWorkload(*read, seed);
+  RunProduct(*read, workload, seed, [](const Decision& it) {
+    std::printf("%.0f,", ToSeconds(it.at.time_since_epoch()));
+    for (const Subject& subject : it.subjects)
+      std::printf("%s:%s ", subject.kind.c_str(), subject.name.c_str());
+    std::printf(",%s,%s,", it.choice.c_str(), it.reason.c_str());
+    for (const Fact& fact : it.facts)
+      std::printf("%s=%s ", fact.name.c_str(), fact.value.c_str());
+    std::printf("\n");
+  });
+  return true;
+}
+
 }  // namespace pomelomill::measure
