Drive the product's routers in the measuring model

Cause: the model served requests by one ideal queue for each pool, so its budgets said nothing about libs/routing or about slots that are split between entries. The scenarios with a lost rack lost the rack of the first VM, which the product had stopped, so that nothing was lost; losses of a zone were not measured. Whether a buffer of half the static one is possible was not known. Change: RunProduct drives one Router for each of 9 entries (scenario key entries). The rack or zone with most VMs in service is lost. A static baseline that keeps the budgets at no size is not compared.

--- a/tools/measure/src/model.cc
+++ b/tools/measure/src/model.cc
@@ -36,6 +36,59 @@
   waiting_.resize(pools_.size());
   tick_arrivals_.resize(queues_.size());
   result_.queues.resize(queues_.size());
+  if (routing_ == Routing::kRouter) MakeRouters(seed);
+}
+
+void Model::MakeRouters(std::uint64_t seed) {
+  for (std::size_t i = 0; i < vms_.size(); ++i)
+    vm_index_[vms_[i].id] = static_cast<int>(i);
+  RouterFleetHooks hooks;
+  hooks.reach = [this](const VmId& vm) { return Reach(vm); };
+  hooks.run_of = [this](int vm) { return vms_[vm].run; };
+  hooks.service_s = [this](int request) { return workload_[request].service; };
+  hooks.on_begin = [this](int vm) { ++vms_[vm].busy; };
+  hooks.on_end = [this](int vm) {
+    --vms_[vm].busy;
+    if (vms_[vm].mode == VmMode::kDraining) Advance(vm);
+  };
+  hooks.on_response = [this](int request, bool is_in_time,
+                             OutcomeReason reason) {
+    Finish(request, is_in_time);
+    if (!is_in_time) ++result_.missed_by_reason[reason];
+  };
+  routers_ = std::make_unique<RouterFleet>(
+      std::make_shared<Declarations>(scenario_.declarations),
+      static_cast<int>(scenario_.entries), seed, std::move(hooks));
+}
+
+VmAnswer Model::Reach(const VmId& vm) const {
+  const int index = vm_index_.at(vm);
+  const ModelVm& it = vms_[index];
+  VmAnswer answer;
+  answer.vm = index;
+  answer.run = it.run;
+  answer.generation = it.generation;
+  answer.is_draining = it.mode == VmMode::kDraining;
+  switch (it.mode) {
+    case VmMode::kUp:
+      if (it.busy >= slots_[it.pool]) answer.kind = VmAnswer::Kind::kRefuses;
+      break;
+    case VmMode::kDraining:
+      answer.kind = VmAnswer::Kind::kRefuses;
+      break;
+    case VmMode::kDown:
+    case VmMode::kStopped:
+      answer.kind = VmAnswer::Kind::kUnreachable;
+      break;
+    case VmMode::kLost:
+      answer.kind = VmAnswer::Kind::kSilent;
+      break;
+  }
+  return answer;
+}
+
+void Model::SetRegionState(const RegionState& state) {
+  if (routers_) routers_->SetState(state, now_);
 }
 
 bool Model::is_store_up() const {
@@ -49,6 +102,7 @@
 }
 
 void Model::Finish(int request, bool in_time) {
+  ++result_.finished;
   if (!in_time) ++result_.queues[workload_[request].queue].missed;
 }
 
@@ -60,11 +114,14 @@
         next < workload_.size() ? workload_[next].at : scenario_.duration_s;
     const double completion =
         completions_.empty() ? scenario_.duration_s : completions_.top().at;
-    now_ = std::min({arrival, completion, next_tick});
+    const double routed = routers_ ? routers_->next_at() : scenario_.duration_s;
+    now_ = std::max(now_, std::min({arrival, completion, next_tick, routed}));
     if (now_ >= scenario_.duration_s) break;
     if (next_tick <= now_) {
       Tick();
       next_tick += tick_interval_s;
+    } else if (routed <= now_) {
+      routers_->RunDue(now_);
     } else if (completion <= arrival) {
       const Completion it = completions_.top();
       completions_.pop();
@@ -73,6 +130,7 @@
       Arrive(static_cast<int>(next++));
     }
   }
+  if (routers_) result_.open_at_end = routers_->open_requests();
   return result_;
 }
 
@@ -86,6 +144,11 @@
     Dispatch(pool);
     return;
   }
+  if (routing_ == Routing::kRouter) {
+    routers_->Arrive(request, queues_[queue], DeadlineOf(request),
+                     declared_[queue]->is_repeatable, now_);
+    return;
+  }
   const int vm = PickVm(pool);
   if (vm < 0) return Finish(request, false);
   ModelVm& it = vms_[vm];
@@ -207,56 +270,70 @@
   it.ready_at = now_ + cold_start_[it.pool];
 }
 
-void Model::LoseRack() {
-  const double from = scenario_.rack_lost_at_s;
-  const bool is_lost =
-      from >= 0 && now_ >= from && now_ < from + scenario_.rack_lost_for_s;
-  if (is_lost && lost_racks_.empty()) {
-    lost_racks_.insert(vms_.front().rack);
-    for (ModelVm& it : vms_) {
-      if (!lost_racks_.contains(it.rack) || it.mode == VmMode::kStopped)
-        continue;
-      it.mode = VmMode::kLost;
-      it.lost_at = now_;
-      it.busy = 0;
-      ++it.run;
-      for (const auto* list : {&it.running}) {
-        for (int request : *list) {
-          const QueueDeclaration& queue = *declared_[workload_[request].queue];
-          const bool repeats = queue.is_repeatable || repeats_everything;
-          if (!queue.is_repeatable && repeats) ++result_.duplicates;
-          if (repeats && routing_ == Routing::kEarliestDeadline) {
-            waiting_[it.pool].push({DeadlineOf(request), request});
-          } else {
-            Finish(request, false);
-          }
-        }
-      }
-      for (int request : it.waiting) Finish(request, false);
-      it.running.clear();
-      it.waiting.clear();
-    }
-  } else if (!is_lost && !lost_racks_.empty()) {
-    for (ModelVm& it : vms_) {
-      if (it.mode != VmMode::kLost) continue;
+template <typename Id>
+Id Model::MostUsed(Id ModelVm::*domain) const {
+  std::map<Id, int> up;
+  for (const ModelVm& it : vms_) up[it.*domain] += it.mode == VmMode::kUp;
+  return std::max_element(
+             up.begin(), up.end(),
+             [](const auto& a, const auto& b) { return a.second < b.second; })
+      ->first;
+}
+
+void Model::LoseDomains() {
+  const auto is_during = [&](double from, double length) {
+    return from >= 0 && now_ >= from && now_ < from + length;
+  };
+  const bool rack =
+      is_during(scenario_.rack_lost_at_s, scenario_.rack_lost_for_s);
+  const bool zone =
+      is_during(scenario_.zone_lost_at_s, scenario_.zone_lost_for_s);
+  if (rack && lost_rack_.empty()) lost_rack_ = MostUsed(&ModelVm::rack);
+  if (zone && lost_zone_.empty()) lost_zone_ = MostUsed(&ModelVm::zone);
+  for (ModelVm& it : vms_) {
+    const bool is_lost =
+        (rack && it.rack == lost_rack_) || (zone && it.zone == lost_zone_);
+    if (is_lost && it.mode != VmMode::kLost && it.mode != VmMode::kStopped) {
+      Lose(it);
+    } else if (!is_lost && it.mode == VmMode::kLost) {
       it.mode = VmMode::kDown;
       it.ready_at = now_ + cold_start_[it.pool];
     }
-    lost_racks_.clear();
   }
 }
 
+void Model::Lose(ModelVm& vm) {
+  vm.mode = VmMode::kLost;
+  vm.lost_at = now_;
+  vm.busy = 0;
+  ++vm.run;
+  for (int request : vm.running) {
+    const QueueDeclaration& queue = *declared_[workload_[request].queue];
+    const bool repeats = queue.is_repeatable || repeats_everything;
+    if (!queue.is_repeatable && repeats) ++result_.duplicates;
+    if (repeats && routing_ == Routing::kEarliestDeadline) {
+      waiting_[vm.pool].push({DeadlineOf(request), request});
+    } else {
+      Finish(request, false);
+    }
+  }
+  for (int request : vm.waiting) Finish(request, false);
+  vm.running.clear();
+  vm.waiting.clear();
+}
+
 void Model::Tick() {
   for (std::size_t i = 0; i < queues_.size(); ++i) {
     recent_[i] = static_cast<double>(tick_arrivals_[i]) / tick_interval_s;
     tick_arrivals_[i] = 0;
   }
-  LoseRack();
+  LoseDomains();
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     ModelVm& it = vms_[i];
     if (it.mode == VmMode::kDraining) Advance(static_cast<int>(i));
     if (it.mode == VmMode::kDown && now_ >= it.ready_at) {
       it.mode = VmMode::kUp;
+      it.generation = Generation(it.generation.value() + 1);
       if (it.purpose == VmPurpose::kReboot) it.is_maintained = true;
       it.purpose = VmPurpose::kNone;
     }
--- a/tools/measure/src/model.h
+++ b/tools/measure/src/model.h
@@ -3,13 +3,17 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <queue>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "pomelomill/base/decision_log.h"
 #include "pomelomill/base/random.h"
+#include "router_fleet.h"
 #include "scenario.h"
 
 namespace pomelomill::measure {
@@ -18,6 +22,8 @@
   /// One queue for each pool, earliest deadline first, any free slot; requests
   /// that would miss their deadline are shed.
   kEarliestDeadline,
+  /// `libs/routing`, one router for each entry; see RouterFleet.
+  kRouter,
   /// A random VM of the pool; each VM serves in the order of arrival.
   kRandom,
   /// The VM of the pool with the fewest requests, in the order of arrival.
@@ -43,6 +49,8 @@
   int busy = 0;
   /// Completions of earlier runs are ignored.
   int run = 0;
+  /// Rises with each start, as in the region state.
+  Generation generation{1};
   /// Requests that wait at this VM; not used with kEarliestDeadline.
   std::deque<int> waiting;
   std::set<int> running;
@@ -56,6 +64,11 @@
 
 struct RunResult {
   std::vector<QueueResult> queues;
+  /// Requests with a final outcome, and without one at the end of the run.
+  std::uint64_t finished = 0;
+  std::uint64_t open_at_end = 0;
+  /// Why requests missed; with kRouter only.
+  std::map<OutcomeReason, std::uint64_t> missed_by_reason;
   double up_vm_s = 0;
   double all_vm_s = 0;
   std::uint32_t moves = 0;
@@ -101,6 +114,9 @@
   double recent_rate(int queue) const { return recent_[queue]; }
   double cold_start(int pool) const { return cold_start_[pool]; }
 
+  /// The region state that the entries act on from now on; kRouter only.
+  void SetRegionState(const RegionState& state);
+
   void Drain(int vm, VmPurpose purpose, int target_pool);
   void Start(int vm);
 
@@ -120,10 +136,19 @@
     }
   };
 
+  void MakeRouters(std::uint64_t seed);
+  VmAnswer Reach(const VmId& vm) const;
   void Arrive(int request);
   void Complete(const Completion& completion);
   void Tick();
-  void LoseRack();
+  /// The rack or zone with most VMs in service; the loss of one that is
+  /// stopped would show nothing.
+  template <typename Id>
+  Id MostUsed(Id ModelVm::*domain) const;
+  /// Loses and returns the VMs of a rack and of a zone at the times that the
+  /// scenario names.
+  void LoseDomains();
+  void Lose(ModelVm& vm);
   void Dispatch(int pool);
   void Begin(int vm, int request);
   void Pull(int vm);
@@ -147,7 +172,10 @@
   std::vector<std::uint64_t> tick_arrivals_;
   std::vector<std::priority_queue<Waiting>> waiting_;
   std::priority_queue<Completion> completions_;
-  std::set<RackId> lost_racks_;
+  RackId lost_rack_;
+  ZoneId lost_zone_;
+  std::unique_ptr<RouterFleet> routers_;
+  std::unordered_map<VmId, int> vm_index_;
   double now_ = 0;
   RunResult result_;
 };
--- a/tools/measure/src/policies.cc
+++ b/tools/measure/src/policies.cc
@@ -141,8 +141,8 @@
 RunResult RunProduct(const Scenario& scenario,
                      const std::vector<Request>& workload, std::uint64_t seed,
                      std::function<void(const Decision&)> on_decision) {
-  Model model(scenario, workload, Routing::kEarliestDeadline,
-              DeclaredVms(scenario), seed);
+  Model model(scenario, workload, Routing::kRouter, DeclaredVms(scenario),
+              seed);
   model.on_decision = std::move(on_decision);
   ProductPolicy policy(model);
   model.on_tick = [&](Model& it) { policy.Act(it); };
@@ -174,6 +174,16 @@
   return model.Run();
 }
 
+RunResult RunPooled(const Scenario& scenario,
+                    const std::vector<Request>& workload, std::uint64_t seed,
+                    std::vector<ModelVm> vms) {
+  Scenario calm = scenario;
+  calm.rack_lost_at_s = -1;
+  calm.zone_lost_at_s = -1;
+  Model model(calm, workload, Routing::kEarliestDeadline, std::move(vms), seed);
+  return model.Run();
+}
+
 RunResult RunClairvoyant(const Scenario& scenario,
                          const std::vector<Request>& workload,
                          std::uint64_t seed) {
--- a/tools/measure/src/policies.h
+++ b/tools/measure/src/policies.h
@@ -15,7 +15,7 @@
 /// `count` VMs in each pool, spread over racks and zones.
 std::vector<ModelVm> EqualVms(const Scenario& scenario, int count);
 
-/// Planner and maintenance of the product, earliest deadline first.
+/// Planner, maintenance and routing of the product.
 /// `on_decision` receives every decision.
 RunResult RunProduct(
     const Scenario& scenario, const std::vector<Request>& workload,
@@ -31,6 +31,11 @@
 RunResult RunReactive(const Scenario& scenario,
                       const std::vector<Request>& workload, std::uint64_t seed);
 
+/// Static pools, earliest deadline first, no wave and nothing lost.
+RunResult RunPooled(const Scenario& scenario,
+                    const std::vector<Request>& workload, std::uint64_t seed,
+                    std::vector<ModelVm> vms);
+
 /// What could be served at best: every VM that is not lost serves any queue,
 /// earliest deadline first, and no VM is ever moved, stopped or maintained.
 RunResult RunClairvoyant(const Scenario& scenario,
--- a/tools/measure/src/product_policy.cc
+++ b/tools/measure/src/product_policy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <string>
 
 namespace pomelomill::measure {
@@ -12,18 +13,23 @@
 // One write of the region state, read back by the watches of all entries.
 constexpr std::uint64_t kWritesPerStep = 1;
 constexpr std::uint64_t kEntries = 9;
-// Each entry renews its lease and answers two long watches.
-constexpr double kLeaseRenewS = 3;
-constexpr double kWatchS = 30;
+// Each entry renews its lease, has two long watches and reads the control key
+// each 1 to 2 s.
+constexpr double kLeaseRenewS = 3.3;
+constexpr double kWatchS = 4;
+constexpr double kControlReadS = 1.5;
 
 Instant At(double seconds) {
   return Instant(std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(seconds)));
 }
 
-double Elapsed(std::chrono::steady_clock::time_point start) {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
-      .count();
+/// Processor time of this thread; other processes of the machine do not count.
+double ThreadSeconds() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) * 1e-9;
 }
 
 VmPhase PhaseOf(VmMode mode) {
@@ -87,6 +93,7 @@
     VmState& vm = state_->vms.at(it.id);
     vm.pool = model.pools()[it.pool];
     vm.phase = PhaseOf(it.mode);
+    vm.generation = it.generation;
     if (it.mode == VmMode::kLost) lost_.insert(it.id);
   }
   std::vector<IntentId> closed;
@@ -145,11 +152,11 @@
   input.state = state_;
   input.demand = demand_;
   input.lost = lost_;
-  const auto start = std::chrono::steady_clock::now();
+  const double start = ThreadSeconds();
   const WaveStep step = scheduler_.Step(input, At(model.now()));
   RunResult& result = model.result();
   result.longest_decision_s =
-      std::max(result.longest_decision_s, Elapsed(start));
+      std::max(result.longest_decision_s, ThreadSeconds() - start);
   for (const IntentId& it : step.finished) state_->intents.erase(it);
   state_->waves = step.waves;
   if (result.first_estimate_s < 0 && !step.estimates.empty()) {
@@ -176,11 +183,11 @@
   for (const auto& [id, intent] : state_->intents) {
     if (!intent.wave.empty()) input.in_maintenance.insert(intent.vm);
   }
-  const auto start = std::chrono::steady_clock::now();
+  const double start = ThreadSeconds();
   const Plan plan = planner_.Plan(input, At(model.now()));
   RunResult& result = model.result();
   result.longest_decision_s =
-      std::max(result.longest_decision_s, Elapsed(start));
+      std::max(result.longest_decision_s, ThreadSeconds() - start);
   if (model.on_decision) {
     for (const Decision& it : plan.decisions) model.on_decision(it);
   }
@@ -193,8 +200,8 @@
 }
 
 void ProductPolicy::Act(Model& model) {
-  const double per_tick =
-      model.tick_interval_s * kEntries * (1 / kLeaseRenewS + 2 / kWatchS);
+  const double per_tick = model.tick_interval_s * kEntries *
+                          (1 / kLeaseRenewS + 2 / kWatchS + 1 / kControlReadS);
   model.result().store_calls += static_cast<std::uint64_t>(per_tick);
   Measure(model);
   ReadVms(model);
@@ -203,6 +210,9 @@
   if (!model.is_store_up()) return;
   RunWaves(model);
   RunPlanner(model);
+  // The entries act on what is written now; drains that have just begun count.
+  ReadVms(model);
+  model.SetRegionState(*state_);
 }
 
 }  // namespace pomelomill::measure
--- a/tools/measure/src/scenario.cc
+++ b/tools/measure/src/scenario.cc
@@ -36,6 +36,9 @@
       {"wave_at_s", &scenario.wave_at_s},
       {"rack_lost_at_s", &scenario.rack_lost_at_s},
       {"rack_lost_for_s", &scenario.rack_lost_for_s},
+      {"zone_lost_at_s", &scenario.zone_lost_at_s},
+      {"zone_lost_for_s", &scenario.zone_lost_for_s},
+      {"entries", &scenario.entries},
       {"store_down_at_s", &scenario.store_down_at_s},
       {"store_down_for_s", &scenario.store_down_for_s}};
   const auto it = numbers.find(key);
--- a/tools/measure/src/scenario.h
+++ b/tools/measure/src/scenario.h
@@ -22,6 +22,10 @@
   double wave_at_s = -1;
   double rack_lost_at_s = -1;
   double rack_lost_for_s = 600;
+  double zone_lost_at_s = -1;
+  double zone_lost_for_s = 600;
+  /// Entries that share the slots of every VM.
+  double entries = 9;
   double store_down_at_s = -1;
   double store_down_for_s = 300;
   Declarations declarations;
