--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,18 +1,25 @@
 #!/usr/bin/env bash
 # Prints CSV with the measures of planner and maintenance beside their
 # baselines: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes
+# --slopes prints the cost of one decision and of the exchanges between entries
+# by size.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-scripts/build.sh release measure >&2
+scripts/build.sh release measure measure_exchange >&2
 arguments=()
 scenarios=()
+slopes=0
 while [ $# -gt 0 ]; do
   case $1 in
     --seed) arguments+=(--seed "$2") && shift 2 ;;
     --scenario) scenarios+=("$2") && shift 2 ;;
-    --slopes) arguments+=(--slopes) && shift ;;
+    --slopes) slopes=1 && shift ;;
     *) echo "usage: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes" >&2 && exit 2 ;;
   esac
 done
+if [ "$slopes" = 1 ]; then
+  build/release/tools/measure/measure --slopes
+  exec build/release/tools/measure_exchange/measure_exchange
+fi
 [ ${#scenarios[@]} -gt 0 ] || scenarios=(examples/scenarios/*.ini)
 build/release/tools/measure/measure "${arguments[@]}" "${scenarios[@]}"
--- a/tools/measure_exchange/src/main.cc
+++ b/tools/measure_exchange/src/main.cc
@@ -201,34 +201,41 @@
   return row;
 }
 
-/// Least squares slope of `y` over `x`.
-template <typename X, typename Y>
-double Slope(const std::vector<Row>& rows, X x, Y y) {
+/// Least squares line of `value` over `x`, with its largest relative error.
+void PrintFit(const char* over, const char* name, const std::vector<Row>& rows,
+              double (*x)(const Row&), double (*value)(const Row&)) {
   double mean_x = 0;
   double mean_y = 0;
   for (const Row& row : rows) {
     mean_x += x(row);
-    mean_y += y(row);
+    mean_y += value(row);
   }
   mean_x /= static_cast<double>(rows.size());
   mean_y /= static_cast<double>(rows.size());
   double covariance = 0;
   double variance = 0;
   for (const Row& row : rows) {
-    covariance += (x(row) - mean_x) * (y(row) - mean_y);
+    covariance += (x(row) - mean_x) * (value(row) - mean_y);
     variance += (x(row) - mean_x) * (x(row) - mean_x);
   }
-  return variance == 0 ? 0 : covariance / variance;
+  const double slope = variance == 0 ? 0 : covariance / variance;
+  double error = 0;
+  for (const Row& row : rows) {
+    const double fitted = mean_y + slope * (x(row) - mean_x);
+    error = std::max(error, std::abs(fitted - value(row)) / value(row));
+  }
+  std::printf("fit,%s,%s,slope=%.6g,intercept=%.6g,largest_error=%.3f\n", over,
+              name, slope, mean_y - slope * mean_x, error);
 }
 
-void PrintSlopes(const char* over, const std::vector<Row>& rows,
-                 double (*x)(const Row&)) {
-  std::printf("slope,%s,bytes_sent_per_s,%.4f\n", over,
-              Slope(rows, x, [](const Row& row) { return row.sent; }));
-  std::printf("slope,%s,cpu_percent,%.6f\n", over,
-              Slope(rows, x, [](const Row& row) { return row.cpu_percent; }));
-  std::printf("slope,%s,memory_kb,%.4f\n", over,
-              Slope(rows, x, [](const Row& row) { return row.memory_kb; }));
+void PrintFits(const char* over, const std::vector<Row>& rows,
+               double (*x)(const Row&)) {
+  PrintFit(over, "bytes_sent_per_s", rows, x,
+           [](const Row& row) { return row.sent; });
+  PrintFit(over, "cpu_percent", rows, x,
+           [](const Row& row) { return row.cpu_percent; });
+  PrintFit(over, "memory_kb", rows, x,
+           [](const Row& row) { return row.memory_kb; });
 }
 
 void Run() {
@@ -236,7 +243,7 @@
       "entries,regions,pools,bytes_sent_per_s,bytes_received_per_s,"
       "messages_per_s,cpu_percent,cpu_us_per_message,memory_kb\n");
   std::vector<Row> over_pools;
-  std::vector<Row> over_entries;
+  std::vector<Row> over_pools_of_regions;
   for (const auto& [entries, regions] :
        {std::pair(3, 1), std::pair(9, 1), std::pair(18, 2), std::pair(36, 4)}) {
     for (const int pools : {10, 80, 317}) {
@@ -245,13 +252,13 @@
                   row.regions, row.pools, row.sent, row.received, row.messages,
                   row.cpu_percent, row.cpu_us_per_message, row.memory_kb);
       if (entries == 9) over_pools.push_back(row);
-      if (pools == 80) over_entries.push_back(row);
+      if (regions == 4) over_pools_of_regions.push_back(row);
     }
   }
-  PrintSlopes("pools at 9 entries", over_pools,
-              [](const Row& row) { return static_cast<double>(row.pools); });
-  PrintSlopes("entries at 80 pools", over_entries,
-              [](const Row& row) { return static_cast<double>(row.entries); });
+  PrintFits("pools at 9 entries", over_pools,
+            [](const Row& row) { return static_cast<double>(row.pools); });
+  PrintFits("pools at 36 entries in 4 regions", over_pools_of_regions,
+            [](const Row& row) { return static_cast<double>(row.pools); });
 }
 
 }  // namespace
