Check that a wave outside its window is waiting

Change: a test of the wave's phase outside its permitted time. Conclusion: passes under the asan preset.

--- a/libs/maintenance/test/wave_scheduler_test.cc
+++ b/libs/maintenance/test/wave_scheduler_test.cc
@@ -291,6 +291,21 @@
   CHECK(HasAction(early, WaveActionKind::kStart));
 }
 
+// Guards against a wave that stays running outside its permitted time: the
+// planner would keep idle VMs up for it until the next day.
+TEST_CASE("a wave outside its window is waiting") {
+  WaveFixture fixture = WaveFixture::Generate(1, 2, 12);
+  WaveScheduler scheduler;
+  fixture.Step(scheduler);
+  CHECK(fixture.wave().phase == WavePhase::kRunning);
+  const auto before = fixture.starts.size();
+  fixture.input.windows[WaveId("w")].until_start = std::chrono::hours(20);
+  fixture.now += seconds(60);
+  fixture.Step(scheduler);
+  CHECK(fixture.wave().phase == WavePhase::kWaiting);
+  CHECK(fixture.starts.size() == before);
+}
+
 // Guards against a new holder of the control lease that takes VMs again.
 TEST_CASE("a new scheduler continues from the region state") {
   WaveFixture fixture = WaveFixture::Generate(2, 3, 18);
