Count the lease of a task until the calls for it have ended

Cause: the lease and the delivery limit of a start were counted from the decision. Renewals had the same fault.

Change: a lease cannot expire while a call for it is open. After the end of the call, limit and lease are counted from the moment by which the request had left the process, which TaskCallEnded and WorkerRenewed may name (sent_by); without it, from the end of the call. A 404 proves the end of a task only when no start can arrive any more by the same rule. The test of cancellation bursts never ended its starts, which the events now require; it ends them as unknown and checks the same counts as before.

A lease with no open call is taken for expired by a clock that jumps while no time passes.

--- a/libs/jobs/include/pomelomill/jobs/job_events.h
+++ b/libs/jobs/include/pomelomill/jobs/job_events.h
@@ -65,20 +65,29 @@
 enum class TaskCall { kStart, kRenew, kCheckpoint, kThrottle, kStop };
 enum class CallOutcome { kAccepted, kRefused, kUnknown };
 
-/// Response to one call on one task. `kRefused` is 409 for a start and 404
-/// for the others; `kUnknown` is a lost response or a timeout.
+/// End of one call on one task. `kRefused` is 409 for a start and 404 for the
+/// others; `kUnknown` is a lost response or a timeout. The event for a start is
+/// sent exactly once, and after it nothing of the call is sent any more; until
+/// then the task counts as running. After a call that had to wait, the lease
+/// and the delivery limit are counted again.
 struct TaskCallEnded {
   TaskId task;
   TaskCall call = TaskCall::kStart;
   CallOutcome outcome = CallOutcome::kUnknown;
   /// When the scheduler returned the action that led to the call.
   Instant sent_at{};
+  /// A moment at which the request had certainly left the process. Without it
+  /// the request counts as sent when the call ended.
+  std::optional<Instant> sent_by;
 };
 
-/// Summary of one `RenewLeases` action: false when the worker did not respond.
+/// End of one `RenewLeases` action, sent exactly once after all its calls have
+/// ended; `is_renewed` is false when the worker did not respond.
 struct WorkerRenewed {
   WorkerId worker;
   bool is_renewed = false;
+  /// As for `TaskCallEnded`, for all calls of the action.
+  std::optional<Instant> sent_by;
 };
 
 /// Time has passed; runs a scheduling pass when anything changed.
--- a/libs/jobs/src/scheduler_core.h
+++ b/libs/jobs/src/scheduler_core.h
@@ -62,6 +62,8 @@
 
   struct WorkerState {
     std::uint32_t unknown_renewals = 0;
+    /// Renewals whose calls have not ended.
+    std::uint32_t open_renewals = 0;
     std::uint32_t refusals = 0;
     std::uint32_t missed_lists = 0;
     Instant renew_at{};
--- a/libs/jobs/src/scheduler_tasks.cc
+++ b/libs/jobs/src/scheduler_tasks.cc
@@ -133,7 +133,7 @@
     // was sent, or when no start can arrive after it any more.
     const bool was_there =
         task.confirmed_at && *task.confirmed_at <= event.sent_at;
-    if (was_there || event.sent_at >= task.lease.last_delivery())
+    if (was_there || task.lease.IsDeliveryOver(event.sent_at))
       EndUnfinished(ref, now, true);
     return;
   }
@@ -172,6 +172,7 @@
 void SchedulerCore::OnStartEnded(TaskRef ref, const TaskCallEnded& event,
                                  Instant now) {
   TaskEntry& task = ref.task();
+  task.lease.StartEnded(event.sent_by.value_or(now), settings_.lease);
   switch (event.outcome) {
     case CallOutcome::kAccepted:
       Confirm(ref, now);
--- a/libs/jobs/src/scheduler_workers.cc
+++ b/libs/jobs/src/scheduler_workers.cc
@@ -112,7 +112,7 @@
   task.started_at = now;
   task.confirmed_at = now;
   task.lease = {};
-  task.lease.RenewSent(now, settings_.lease);
+  task.lease.Seen(now, settings_.lease);
   live_.emplace(attempt, ref);
   by_place_.emplace(task.place, ref);
   QuotaBook::TeamUse& use = quotas_.Use(job.job_class.team);
@@ -161,6 +161,10 @@
   const WorkerIndex w = ledger_.Find(event.worker);
   if (w == kNoWorker) return;
   WorkerState& state = worker_states_[w];
+  if (state.open_renewals > 0) --state.open_renewals;
+  for (const PlaceNumber it : ledger_.worker(w).places)
+    by_place_.at(it).task().lease.RenewEnded(
+        event.sent_by.value_or(now), state.open_renewals == 0, settings_.lease);
   if (event.is_renewed) {
     // It responds again; one lost message must not idle it any longer.
     if (state.unknown_renewals > 0) {
@@ -221,7 +225,7 @@
   });
   for (const TaskRef& ref : refs) {
     TaskEntry& task = ref.task();
-    if (!task.confirmed_at && now >= task.lease.last_delivery())
+    if (!task.confirmed_at && task.lease.IsDeliveryOver(now))
       has_unconfirmed = true;
     if (task.pending) {
       PendingOperation& pending = *task.pending;
@@ -257,7 +261,10 @@
       ref.task().lease.RenewSent(now, settings_.lease);
       renewal.tasks.push_back(ref.task().attempt);
     }
-    if (!renewal.tasks.empty()) actions_.emplace_back(std::move(renewal));
+    if (!renewal.tasks.empty()) {
+      ++state.open_renewals;
+      actions_.emplace_back(std::move(renewal));
+    }
     state.renew_at = now + settings_.lease.renew_every;
     state.renew_sent_at = now;
   }
--- a/libs/jobs/src/task_lease.cc
+++ b/libs/jobs/src/task_lease.cc
@@ -13,13 +13,36 @@
 }
 
 void TaskLease::StartSent(Instant now, const LeaseSettings& settings) {
+  is_start_open_ = true;
   last_delivery_ = std::max(last_delivery_, now + settings.max_delivery);
-  RenewSent(now, settings);
+  ExtendExpiry(now, settings);
+}
+
+void TaskLease::StartEnded(Instant sent_by, const LeaseSettings& settings) {
+  is_start_open_ = false;
+  last_delivery_ = std::max(last_delivery_, sent_by + settings.max_delivery);
+  ExtendExpiry(sent_by, settings);
 }
 
 void TaskLease::RenewSent(Instant now, const LeaseSettings& settings) {
-  certain_expiry_ = std::max(
-      certain_expiry_, now + settings.max_delivery + LongestLease(settings));
+  is_renewal_open_ = true;
+  ExtendExpiry(now, settings);
+}
+
+void TaskLease::RenewEnded(Instant sent_by, bool is_last,
+                           const LeaseSettings& settings) {
+  if (!is_renewal_open_) return;
+  is_renewal_open_ = !is_last;
+  ExtendExpiry(sent_by, settings);
+}
+
+void TaskLease::Seen(Instant now, const LeaseSettings& settings) {
+  ExtendExpiry(now, settings);
+}
+
+void TaskLease::ExtendExpiry(Instant sent_by, const LeaseSettings& settings) {
+  certain_expiry_ = std::max(certain_expiry_, sent_by + settings.max_delivery +
+                                                  LongestLease(settings));
 }
 
 }  // namespace pomelomill
--- a/libs/jobs/test/job_world.cc
+++ b/libs/jobs/test/job_world.cc
@@ -148,7 +148,7 @@
     Call(
         w, [this, w, s = *start] { return StartRun(w, s); },
         [this, task = start->start.task, sent](CallOutcome outcome) {
-          Send(TaskCallEnded{task, TaskCall::kStart, outcome, sent});
+          Send(TaskCallEnded{task, TaskCall::kStart, outcome, sent, sent});
         });
   } else if (const auto* op = std::get_if<OperateTask>(&action)) {
     const std::uint32_t w = IndexOf(op->worker);
@@ -177,7 +177,7 @@
         },
         [this, id = renew->worker, sent, gone](CallOutcome outcome) {
           const bool is_renewed = outcome == CallOutcome::kAccepted;
-          Send(WorkerRenewed{id, is_renewed});
+          Send(WorkerRenewed{id, is_renewed, sent});
           if (!is_renewed) return;
           for (const TaskId& it : *gone)
             Send(TaskCallEnded{it, TaskCall::kRenew, CallOutcome::kRefused,
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -163,6 +163,10 @@
   }
   const auto starts = Of<StartTask>(bench.TickAfter(seconds(1)));
   REQUIRE(starts.size() == 32);
+  // An open start would keep each place; these end without a response.
+  for (const StartTask& it : starts)
+    bench.Send(TaskCallEnded{it.start.task, TaskCall::kStart,
+                             CallOutcome::kUnknown, bench.now});
   const auto passes = bench.scheduler.stats().passes;
   const auto stops = Of<OperateTask>(bench.Send(cancel));
   CHECK(stops.size() == 32);
