Count all leases again after a gap in the scheduler's events

Cause: a clock that jumps forward by 25 s while no time passes made every lease without an open call look expired, and the tasks were started a second time.

Change: when more than the delivery limit lies between two events, leases, delivery limits and the holds of a restore are counted again. A paused process and a clock that jumped look the same from inside, so a pause now delays the restart of tasks that were lost during it by up to one lease.

--- a/libs/jobs/include/pomelomill/jobs/job_settings.h
+++ b/libs/jobs/include/pomelomill/jobs/job_settings.h
@@ -41,6 +41,10 @@
 struct JobSettings {
   LeaseSettings lease;
   EvidenceSettings evidence;
+  /// After a longer time without an event the clock may have jumped, and all
+  /// leases are counted again. Ticks come several times a second; the time is
+  /// that for the delivery of a call, which covers shorter jumps.
+  Duration max_event_gap = std::chrono::seconds(2);
   /// Worker lists describe a moment at most this long ago.
   Duration max_report_lag = std::chrono::seconds(2);
   /// A checkpoint that has not ended by then becomes a stop. The urgent
--- a/libs/jobs/include/pomelomill/jobs/task_lease.h
+++ b/libs/jobs/include/pomelomill/jobs/task_lease.h
@@ -27,6 +27,9 @@
   /// The task was seen running at `now`, under a lease of any earlier call.
   void Seen(Instant now, const LeaseSettings& settings);
 
+  /// The clock may have jumped to `now`: nothing counts as passed before it.
+  void CountAgain(Instant now, const LeaseSettings& settings);
+
   bool has_open_call() const { return is_start_open_ || is_renewal_open_; }
 
   /// From this moment on the worker has ended the task even if every call
--- a/libs/jobs/src/job_scheduler.cc
+++ b/libs/jobs/src/job_scheduler.cc
@@ -16,6 +16,7 @@
 
 std::vector<JobAction> JobScheduler::Handle(const JobEvent& event,
                                             Instant now) {
+  core_->CheckGap(now);
   std::visit([&](const auto& it) { core_->On(it, now); }, event);
   return core_->TakeActions();
 }
--- a/libs/jobs/src/scheduler_core.h
+++ b/libs/jobs/src/scheduler_core.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,10 @@
   SchedulerCore(const JobSettings& settings, Epoch epoch,
                 DecisionLog* decisions);
 
+  /// Counts all leases again when no event has come for so long that the clock
+  /// may have jumped; call it before each event.
+  void CheckGap(Instant now);
+
   void On(const TeamsDeclared& event, Instant now);
   void On(const JobSubmitted& event, Instant now);
   void On(const JobsCancelled& event, Instant now);
@@ -176,6 +181,7 @@
   std::size_t reserved_workers_ = 0;
   WorkerIndex preemption_cursor_ = 0;
   Instant starts_allowed_at_{};
+  std::optional<Instant> last_event_at_;
   bool has_workers_ = false;
   bool is_dirty_ = false;
   /// Earliest moment at which a waiting task becomes ready without an event.
--- a/libs/jobs/src/scheduler_workers.cc
+++ b/libs/jobs/src/scheduler_workers.cc
@@ -190,6 +190,25 @@
           ledger_.worker(w).places.empty());
 }
 
+void SchedulerCore::CheckGap(Instant now) {
+  const Instant last = std::exchange(last_event_at_, now).value_or(now);
+  const Duration gap = now - last;
+  // Ticks come several times a second. After a longer silence the process was
+  // paused, or its clock jumped while the leases of the workers went on. The
+  // two look the same, so that nothing may count as passed. A shorter jump is
+  // within the time that is allowed for delivery.
+  if (gap <= settings_.max_event_gap) return;
+  for (const auto& [id, job] : jobs_) {
+    for (TaskEntry& task : job->tasks) {
+      if (task.phase == TaskPhase::kRunning)
+        task.lease.CountAgain(now, settings_.lease);
+      if (task.not_before > last) task.not_before += gap;
+      if (task.held_until > last) task.held_until += gap;
+    }
+  }
+  if (starts_allowed_at_ > last) starts_allowed_at_ += gap;
+}
+
 void SchedulerCore::Due(WorkerIndex w, Instant at) {
   worker_states_[w].due_at = std::min(worker_states_[w].due_at, at);
 }
--- a/libs/jobs/src/task_lease.cc
+++ b/libs/jobs/src/task_lease.cc
@@ -40,6 +40,11 @@
   ExtendExpiry(now, settings);
 }
 
+void TaskLease::CountAgain(Instant now, const LeaseSettings& settings) {
+  last_delivery_ = std::max(last_delivery_, now + settings.max_delivery);
+  ExtendExpiry(now, settings);
+}
+
 void TaskLease::ExtendExpiry(Instant sent_by, const LeaseSettings& settings) {
   certain_expiry_ = std::max(certain_expiry_, sent_by + settings.max_delivery +
                                                   LongestLease(settings));
--- a/libs/jobs/test/task_lease_test.cc
+++ b/libs/jobs/test/task_lease_test.cc
@@ -135,5 +135,25 @@
   CHECK(scheduler.stats().lost_attempts == 0);
 }
 
+// Guards against a clock that jumps while the leases of the workers go on: all
+// tasks would be started a second time at once.
+TEST_CASE("a jump of the clock ends no lease") {
+  JobScheduler scheduler({}, Epoch(1), nullptr);
+  scheduler.Handle(TwoWorkers(), Instant{});
+  scheduler.Handle(JobSubmitted{JobId("j"), SmallClass(), 1}, Instant{});
+  const Instant started = Instant(seconds(1));
+  const auto first = Starts(scheduler.Handle(Tick{}, started));
+  REQUIRE(first.size() == 1);
+  scheduler.Handle(TaskCallEnded{first[0].start.task, TaskCall::kStart,
+                                 CallOutcome::kAccepted, started},
+                   started);
+  const Instant jumped = started + std::chrono::minutes(10);
+  const JobSettings settings;
+  const Instant second = NextStart(scheduler, jumped, std::chrono::minutes(10));
+  CHECK(second < jumped + std::chrono::minutes(10));
+  CHECK(second - jumped >=
+        LongestLease(settings.lease) + settings.lease.max_delivery);
+}
+
 }  // namespace
 }  // namespace pomelomill
