Never take a borrowing team below its quota

Cause: docs/jobs.md says that a return of quota never takes the borrower below its own quota, but a task counted as borrowed as soon as its team borrowed any core. A task of 8 cores of a team that borrowed 1 made room.

Change: a task counts as borrowed when its team borrows at least its size. The check of the differential test is stricter by the same: without urgent work, a team must hold its quota after each task that makes room.

Room that is split over tasks larger than the borrowed part is not returned until such a task ends.

--- a/libs/jobs/src/scheduler_claims.cc
+++ b/libs/jobs/src/scheduler_claims.cc
@@ -47,12 +47,14 @@
     const bool is_own = job_class.team == team;
     double& left =
         borrowed.try_emplace(job_class.team, use.Borrowed()).first->second;
-    const bool is_borrowed = left > 0;
+    // A task that is larger than what its team borrows would leave the team
+    // below its quota.
+    const bool is_borrowed = left + kResourceTolerance >= task.size.cores;
     if (rule == VictimRule::kBorrowed &&
         (is_own || !is_borrowed || task.is_protected))
       continue;
     if (rule == VictimRule::kBorrowedOrOwn && !is_own && !is_borrowed) continue;
-    left -= task.size.cores;
+    if (is_borrowed) left -= task.size.cores;
     double penalty = !is_own && !is_borrowed ? kInQuotaCost : 0;
     if (task.preemptions >= settings_.max_preemptions)
       penalty += kOftenPreemptedCost;
--- a/libs/jobs/test/differential_test.cc
+++ b/libs/jobs/test/differential_test.cc
@@ -311,7 +311,8 @@
     if (it != runs_.end()) {
       Run_& run = it->second;
       const Job& job = jobs_[run.job];
-      if (!job.is_cancelled && !run.is_leaving) CheckVictim(job, run);
+      if (!job.is_cancelled && !run.is_leaving)
+        CheckVictim(job, run, action.operation);
       if (workers_[run.worker].is_lost) {
         outcome = CallOutcome::kUnknown;
       } else {
@@ -334,16 +335,21 @@
     }
   }
 
-  void CheckVictim(const Job& job, const Run_& run) {
+  void CheckVictim(const Job& job, const Run_& run, TaskOperation operation) {
     if (!instance_.has_preemption) Fail("a task was preempted");
     if (job.job_class.is_urgent)
       Fail("urgent " + run.logical + " was preempted");
     if (HasLostRun() || HasWaitingUrgent()) return;
     // Only borrowed room is returned when no urgent work waits.
+    const double kept = operation == TaskOperation::kThrottle
+                            ? instance_.settings.throttled_cores
+                            : 0;
     const NaiveScheduler naive = Naive();
-    if (naive.Share(job.job_class.team) <= 1)
-      Fail("task " + run.logical + " made room although its team was within " +
-           "its quota");
+    const TeamId& team = job.job_class.team;
+    if (naive.teams.at(team).used - run.size.cores * (1 - kept) <
+        naive.Quota(team) - kResourceTolerance)
+      Fail("task " + run.logical + " made room although its team needs it " +
+           "for its quota");
   }
 
   void Do(const RenewLeases& action, std::deque<JobEvent>& events) {
--- a/libs/jobs/test/naive_scheduler.cc
+++ b/libs/jobs/test/naive_scheduler.cc
@@ -24,12 +24,16 @@
   return false;
 }
 
-double NaiveScheduler::Share(const TeamId& team) const {
+double NaiveScheduler::Quota(const TeamId& team) const {
   double sum = 0;
   for (const auto& [id, it] : teams) sum += it.quota;
   const double scale = sum > Capacity() ? Capacity() / sum : 1;
+  return teams.at(team).quota * scale;
+}
+
+double NaiveScheduler::Share(const TeamId& team) const {
   const NaiveTeam& it = teams.at(team);
-  const double quota = it.quota * scale;
+  const double quota = Quota(team);
   if (it.used < quota) return it.used / quota;
   return 1 + (it.used - quota) / it.weight;
 }
--- a/libs/jobs/test/naive_scheduler.h
+++ b/libs/jobs/test/naive_scheduler.h
@@ -42,8 +42,10 @@
   /// Whether any worker has room for the task and the limit of urgent work
   /// allows it.
   bool IsPlaceable(const NaiveTask& task) const;
-  /// Share of its entitlement that a team holds, with quotas scaled to the
-  /// capacity.
+  /// Cores that the team may always have: all quotas are scaled down together
+  /// when they add up to more than the capacity.
+  double Quota(const TeamId& team) const;
+  /// Share of its entitlement that a team holds.
   double Share(const TeamId& team) const;
   /// Whether `a` is served before `b`: urgent work first, by age; then teams
   /// with the smaller share; within a team by age.
