Print the measures of the job scheduler by scripts/measure.sh

Cause: the figures at 1,700 workers and 140 teams were open, and measure.sh did not show those of measure_jobs.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,8 +1,16 @@
 #!/usr/bin/env bash
 # Prints CSV with the measures of planner and maintenance beside their
 # baselines: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes
+# With --jobs those of the job scheduler at 95% full: scripts/measure.sh --jobs
+# [WORKERS,TEAMS]..., by default 100,9 400,35 1700,140.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+if [ "${1:-}" = --jobs ]; then
+  shift
+  scripts/build.sh release measure_jobs >&2
+  build/release/tools/measure_jobs/measure_jobs --only full_95 "$@"
+  exec build/release/tools/measure_jobs/measure_jobs --only each_worker_full "$@"
+fi
 scripts/build.sh release measure >&2
 arguments=()
 scenarios=()
@@ -11,7 +19,7 @@
     --seed) arguments+=(--seed "$2") && shift 2 ;;
     --scenario) scenarios+=("$2") && shift 2 ;;
     --slopes) arguments+=(--slopes) && shift ;;
-    *) echo "usage: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes" >&2 && exit 2 ;;
+    *) echo "usage: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes | --jobs [WORKERS,TEAMS]..." >&2 && exit 2 ;;
   esac
 done
 [ ${#scenarios[@]} -gt 0 ] || scenarios=(examples/scenarios/*.ini)
