--- a/libs/jobs/src/scheduler_workers.cc
+++ b/libs/jobs/src/scheduler_workers.cc
@@ -112,7 +112,7 @@
   task.started_at = now;
   task.confirmed_at = now;
   task.lease = {};
-  task.lease.RenewSent(now, settings_.lease);
+  task.lease.Seen(now, settings_.lease);
   live_.emplace(attempt, ref);
   by_place_.emplace(task.place, ref);
   QuotaBook::TeamUse& use = quotas_.Use(job.job_class.team);
@@ -161,6 +161,10 @@
   const WorkerIndex w = ledger_.Find(event.worker);
   if (w == kNoWorker) return;
   WorkerState& state = worker_states_[w];
+  if (state.open_renewals > 0) --state.open_renewals;
+  for (const PlaceNumber it : ledger_.worker(w).places)
+    by_place_.at(it).task().lease.RenewEnded(
+        event.sent_by.value_or(now), state.open_renewals == 0, settings_.lease);
   if (event.is_renewed) {
     // It responds again; one lost message must not idle it any longer.
     if (state.unknown_renewals > 0) {
@@ -186,6 +190,25 @@
           ledger_.worker(w).places.empty());
 }
 
+void SchedulerCore::CheckGap(Instant now) {
+  const Instant last = std::exchange(last_event_at_, now).value_or(now);
+  const Duration gap = now - last;
+  // Ticks come several times a second. After a longer silence the process was
+  // paused, or its clock jumped while the leases of the workers went on. The
+  // two look the same, so that nothing may count as passed. A shorter jump is
+  // within the time that is allowed for delivery.
+  if (gap <= settings_.max_event_gap) return;
+  for (const auto& [id, job] : jobs_) {
+    for (TaskEntry& task : job->tasks) {
+      if (task.phase == TaskPhase::kRunning)
+        task.lease.CountAgain(now, settings_.lease);
+      if (task.not_before > last) task.not_before += gap;
+      if (task.held_until > last) task.held_until += gap;
+    }
+  }
+  if (starts_allowed_at_ > last) starts_allowed_at_ += gap;
+}
+
 void SchedulerCore::Due(WorkerIndex w, Instant at) {
   worker_states_[w].due_at = std::min(worker_states_[w].due_at, at);
 }
@@ -221,7 +244,7 @@
   });
   for (const TaskRef& ref : refs) {
     TaskEntry& task = ref.task();
-    if (!task.confirmed_at && now >= task.lease.last_delivery())
+    if (!task.confirmed_at && task.lease.IsDeliveryOver(now))
       has_unconfirmed = true;
     if (task.pending) {
       PendingOperation& pending = *task.pending;
@@ -257,7 +280,10 @@
       ref.task().lease.RenewSent(now, settings_.lease);
       renewal.tasks.push_back(ref.task().attempt);
     }
-    if (!renewal.tasks.empty()) actions_.emplace_back(std::move(renewal));
+    if (!renewal.tasks.empty()) {
+      ++state.open_renewals;
+      actions_.emplace_back(std::move(renewal));
+    }
     state.renew_at = now + settings_.lease.renew_every;
     state.renew_sent_at = now;
   }
