Rename the routing enum Evidence to EjectionReason

The class Evidence of libs/jobs has the same name in the same namespace, so no program could include both headers. The new name says what it is about; no behaviour changes.

--- a/libs/routing/include/pomelomill/routing/ejection.h
+++ b/libs/routing/include/pomelomill/routing/ejection.h
@@ -25,12 +25,12 @@
   std::uint32_t probes_to_return = 2;
 };
 
-enum class Evidence { kNone, kFailures, kLag };
+enum class EjectionReason { kNone, kFailures, kLag };
 
 /// What the statistics of one endpoint say against it. `median_latency` is
 /// the median of the pool.
-Evidence JudgeEndpoint(const EndpointStats& stats, double median_latency,
-                       const EjectionOptions& options);
+EjectionReason JudgeEndpoint(const EndpointStats& stats, double median_latency,
+                             const EjectionOptions& options);
 
 /// Number of endpoints that may be ejected at once in a pool of `usable`
 /// endpoints.
--- a/libs/routing/src/ejection.cc
+++ b/libs/routing/src/ejection.cc
@@ -5,19 +5,19 @@
 
 namespace pomelomill {
 
-Evidence JudgeEndpoint(const EndpointStats& stats, double median_latency,
-                       const EjectionOptions& options) {
+EjectionReason JudgeEndpoint(const EndpointStats& stats, double median_latency,
+                             const EjectionOptions& options) {
   if (stats.consecutive_failures() >= options.consecutive_failures) {
-    return Evidence::kFailures;
+    return EjectionReason::kFailures;
   }
-  if (stats.samples() < options.min_samples) return Evidence::kNone;
+  if (stats.samples() < options.min_samples) return EjectionReason::kNone;
   if (stats.failure_share() >= options.failure_share) {
-    return Evidence::kFailures;
+    return EjectionReason::kFailures;
   }
   if (stats.latency() > options.lag_factor * median_latency) {
-    return Evidence::kLag;
+    return EjectionReason::kLag;
   }
-  return Evidence::kNone;
+  return EjectionReason::kNone;
 }
 
 std::size_t MaxEjected(std::size_t usable, const EjectionOptions& options) {
--- a/libs/routing/src/endpoint_set.cc
+++ b/libs/routing/src/endpoint_set.cc
@@ -281,7 +281,7 @@
   if (endpoint.is_ejected || !IsActive(endpoint)) return;
   const PoolId& pool = endpoint.state.pool;
   if (JudgeEndpoint(endpoint.stats, MedianLatency(pool), ejection_) ==
-      Evidence::kNone) {
+      EjectionReason::kNone) {
     return;
   }
   if (EjectedCount(pool) >= MaxEjected(ActiveCount(pool), ejection_)) return;
--- a/libs/routing/test/parts_test.cc
+++ b/libs/routing/test/parts_test.cc
@@ -245,13 +245,13 @@
   for (int i = 0; i < 4; ++i) stats.Record(true, 0.01, At(0));
   CHECK(stats.latency() > 1.5);
   const EjectionOptions options;
-  CHECK(JudgeEndpoint(stats, 1, options) == Evidence::kNone);
+  CHECK(JudgeEndpoint(stats, 1, options) == EjectionReason::kNone);
   stats.Record(true, 0.01, At(0));
-  CHECK(JudgeEndpoint(stats, 1, options) == Evidence::kFailures);
+  CHECK(JudgeEndpoint(stats, 1, options) == EjectionReason::kFailures);
   EndpointStats slow;
   for (int i = 0; i < 40; ++i) slow.Record(false, 5, At(0));
-  CHECK(JudgeEndpoint(slow, 1, options) == Evidence::kLag);
-  CHECK(JudgeEndpoint(slow, 4, options) == Evidence::kNone);
+  CHECK(JudgeEndpoint(slow, 1, options) == EjectionReason::kLag);
+  CHECK(JudgeEndpoint(slow, 4, options) == EjectionReason::kNone);
 }
 
 // Guards against an endpoint that is avoided for ever after one bad sample.
