Run entries with control and data plane in the fault matrix

Cause: the fault matrix covered the cores one by one; membership, entry start and stop, claims, moves and planned stops were not covered. The first runs found a crash: an exchange message whose member list names a later incarnation of its own sender removes the sender from the table while the message is read. It is refused as from a dead incarnation now; the test is in libs/peer.

--- a/libs/peer/src/exchange_loop.cc
+++ b/libs/peer/src/exchange_loop.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <utility>
 
+#include "pomelomill/membership/membership_error.h"
 #include "pomelomill/peer/peer_error.h"
 
 namespace pomelomill {
@@ -90,6 +91,10 @@
     }
   }
   const Member* member = table_.Find(message.report.info.incarnation);
+  // The list of members may name a later incarnation of the sender's entry,
+  // for example after a restart under the same address; the sender is dead
+  // then.
+  if (member == nullptr) return Unexpected(MembershipError::kDeadIncarnation);
   book_.SetMember(member->info);
   book_.Take(message);
   if (hooks_.on_contact) hooks_.on_contact(*member);
--- a/libs/peer/test/exchange_test.cc
+++ b/libs/peer/test/exchange_test.cc
@@ -236,5 +236,27 @@
   CHECK(region.nodes_[2]->is_replaced);
 }
 
+// Guards against a crash: the receiver removes the sender from its table
+// while it reads the message.
+TEST_CASE("a message that names its sender's successor is refused") {
+  Region region(3);
+  region.timers_.Advance(seconds(2));
+  const MemberInfo sender = region.nodes_[2]->table.self();
+  MemberInfo successor = sender;
+  successor.incarnation = IncarnationId("entry-2-2");
+  successor.registration = Version(7);
+  ExchangeMessage message;
+  message.report.info = sender;
+  message.members = {successor};
+  std::error_code error;
+  region.nodes_[0]->loop.Handle(
+      message, [&](const Result<ExchangeMessage>& reply) {
+        if (!reply) error = reply.error();
+      });
+  CHECK(error == MembershipError::kDeadIncarnation);
+  CHECK(region.nodes_[0]->table.is_dead(sender.incarnation));
+  CHECK(region.nodes_[0]->table.Find(successor.incarnation) != nullptr);
+}
+
 }  // namespace
 }  // namespace pomelomill
--- a/tools/faults/src/callers.cc
+++ b/tools/faults/src/callers.cc
@@ -9,22 +9,26 @@
 namespace {
 
 constexpr Duration kCancelAfter = std::chrono::milliseconds(30);
+constexpr Duration kRepeatAfter = std::chrono::milliseconds(300);
 
 struct Arrival {
   CallerLoad load;
   bool is_cancelled = false;
+  std::string key;
 };
 
 void Arrive(World& world, const Arrival& arrival,
             const std::vector<EntryDoor>& doors, std::size_t first) {
   for (std::size_t i = 0; i < doors.size(); ++i) {
-    const EntryDoor& door = doors[(first + i) % doors.size()];
+    const EntryDoor door = doors[(first + i) % doors.size()];
     if (!door.process->is_running()) continue;
     if (door.is_ready && !door.is_ready()) continue;
     const std::size_t index = world.evidence.requests.size();
     CallerRequest request;
     request.id = Text("r", index + 1);
+    request.key = arrival.key;
     request.queue = arrival.load.queue;
+    request.deadline = arrival.load.deadline;
     request.entry = door.process->name();
     request.is_repeatable = arrival.load.is_repeatable;
     request.sent = world.timers.Now();
@@ -36,8 +40,8 @@
       accept(index, service_time);
     });
     if (arrival.is_cancelled) {
-      world.timers.ScheduleAfter(kCancelAfter, [&door, run, index] {
-        door.process->RunInside(run, [&door, index] { door.cancel(index); });
+      world.timers.ScheduleAfter(kCancelAfter, [door, run, index] {
+        door.process->RunInside(run, [door, index] { door.cancel(index); });
       });
     }
     return;
@@ -58,8 +62,16 @@
       at += std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>(gap_s));
       if (at >= to) break;
-      const Arrival arrival{load, world.random.Chance(load.cancelled_share)};
-      world.timers.ScheduleAt(at, [&world, shared, arrival, first = turn++] {
+      Arrival arrival{load, world.random.Chance(load.cancelled_share), {}};
+      const std::size_t first = turn++;
+      if (load.is_keyed) {
+        arrival.key = Text("key-", first);
+        world.timers.ScheduleAt(at + kRepeatAfter,
+                                [&world, shared, arrival, first] {
+                                  Arrive(world, arrival, *shared, first + 1);
+                                });
+      }
+      world.timers.ScheduleAt(at, [&world, shared, arrival, first] {
         Arrive(world, arrival, *shared, first);
       });
     }
--- a/tools/faults/src/callers.h
+++ b/tools/faults/src/callers.h
@@ -17,6 +17,10 @@
   Duration service_time = std::chrono::milliseconds(100);
   /// Share of requests that the caller cancels after a short while.
   double cancelled_share = 0.02;
+  Duration deadline = std::chrono::seconds(2);
+  /// Each request carries a caller's own at-most-once key and is repeated at
+  /// another entry shortly after, as by a caller that is impatient.
+  bool is_keyed = false;
 };
 
 /// An entry as the load balancer sees it.
--- a/tools/faults/src/groups.cc
+++ b/tools/faults/src/groups.cc
@@ -4,7 +4,10 @@
 
 const std::vector<Group>& AllGroups() {
   static const std::vector<Group> groups{ApplyGroup(), LeaseGroup(),
-                                         DispatchGroup(), JobsGroup()};
+                                         DispatchGroup(), JobsGroup(),
+                                         MembershipGroup(), EntryGroup(),
+                                         ClaimGroup(), MoveGroup(),
+                                         StopGroup()};
   return groups;
 }
 
--- a/tools/faults/src/groups.h
+++ b/tools/faults/src/groups.h
@@ -18,6 +18,15 @@
 /// Task start, renewal, checkpoint and cancel: the job scheduler over workers.
 Group JobsGroup();
 
+/// Membership, entry start and entry stop, claims, moves, and drain, stop and
+/// return: three entries, each with its control side and its data plane, over
+/// the fleet.
+Group MembershipGroup();
+Group EntryGroup();
+Group ClaimGroup();
+Group MoveGroup();
+Group StopGroup();
+
 /// The groups whose cores exist, in the order of the table.
 const std::vector<Group>& AllGroups();
 
--- a/tools/faults/src/router_host.cc
+++ b/tools/faults/src/router_host.cc
@@ -77,7 +77,7 @@
   sent.service_time = open_[action.request];
   const std::string step =
       ++sends_[action.request] == 1 ? "dispatch.send" : "retry.send";
-  world_.platform.endpoint(action.vm).Send(
+  world_.EndpointOf(action.vm).Send(
       process_, step, sent, action.give_up_at - process_.Now(),
       [this, action](const Result<EndpointResponse>& response) {
         Finish(action, response);
@@ -118,6 +118,7 @@
         it.outcome = CallerOutcome::kUnknown;
         break;
     }
+    if (on_respond) on_respond(action.request.value() - 1, action.outcome);
   });
   world_.injector.After(fault, process_);
 }
@@ -127,7 +128,7 @@
 }
 
 void RouterHost::Do(const ProbeEndpoint& action) {
-  world_.platform.endpoint(action.vm).Health(
+  world_.EndpointOf(action.vm).Health(
       process_, "dispatch.probe", kProbeTimeout,
       [this, vm = action.vm](const Result<testing::EndpointHealth>& health) {
         if (!health) {
--- a/tools/faults/src/router_host.h
+++ b/tools/faults/src/router_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -28,6 +29,9 @@
 
   const Router& router() const { return router_; }
 
+  /// Called after each response to a caller; may be empty.
+  std::function<void(std::size_t request, Outcome outcome)> on_respond;
+
  private:
   void Do(const SendAttempt& action);
   void Do(const Respond& action);
--- a/tools/faults/src/world.cc
+++ b/tools/faults/src/world.cc
@@ -75,6 +75,12 @@
   return *processes_.back().process;
 }
 
+testing::FakeEndpoint& World::EndpointOf(const VmId& vm) {
+  const auto vms = platform.vms();
+  const bool is_known = std::find(vms.begin(), vms.end(), vm) != vms.end();
+  return platform.endpoint(is_known ? vm : vms.front());
+}
+
 void World::Break(Fault fault, testing::FakeProcess& process) {
   const Instant end = timers.Now() + FaultLength(fault, injector.durations);
   switch (fault) {
--- a/tools/faults/src/world.h
+++ b/tools/faults/src/world.h
@@ -13,6 +13,8 @@
 
 namespace pomelomill {
 struct AttemptFinished;
+struct EntryNodeHooks;
+struct LoadReport;
 struct RouterOptions;
 }  // namespace pomelomill
 
@@ -26,6 +28,10 @@
   std::function<void(AttemptFinished&)> attempt;
   /// The body that a caller gets in place of the endpoint's.
   std::function<std::string(const std::string&)> body;
+  /// Hooks between the control side of an entry and the rest of it.
+  std::function<void(EntryNodeHooks&, testing::FakeProcess&)> node_hooks;
+  /// What the data plane reports to the control side.
+  std::function<void(LoadReport&)> load_report;
   /// Entries put every configuration in force that a peer sends.
   bool accepts_lower_revision = false;
 };
@@ -40,6 +46,10 @@
   testing::FakeProcess& AddProcess(const std::string& name,
                                    bool is_entry = true);
 
+  /// The endpoint that answers at the address listed for this VM. An id that
+  /// only a wrong list shows has the address of the first VM.
+  testing::FakeEndpoint& EndpointOf(const VmId& vm);
+
   /// Evidence of the whole run.
   Evidence Collect() const;
 
