Give a repeated take-over a mark of its own; run cells in parallel

Cause: RegionWriter::TakeOver kept the sequence of the value it read. A holder that took control again after a store outage wrote with the writer and sequence of its own last write, so the two could not be told apart. Change: a take-over raises the sequence, with a test in libs/control.

--- a/libs/control/src/region_writer.cc
+++ b/libs/control/src/region_writer.cc
@@ -35,6 +35,9 @@
       state.region = region_;
       state.epoch = state.epoch.Next();
       state.writer = writer_;
+      // A holder that takes over again after a store outage is still the same
+      // writer; without this its write would carry the mark of its last one.
+      ++state.sequence;
       epoch_ = state.epoch;
       Write(std::move(state), version, [this, done](Status status) {
         if (status) is_holder_ = true;
--- a/libs/control/test/region_writer_test.cc
+++ b/libs/control/test/region_writer_test.cc
@@ -98,6 +98,22 @@
   CHECK(store.WritesOf(RegionStateKey(kRegion)).size() == 2);
 }
 
+// Guards against two writes that cannot be told apart: a holder that takes
+// over again after an outage is the writer of the value that it reads.
+TEST_CASE("a repeated take-over has a mark of its own") {
+  VirtualTimerService world;
+  FakeStore store(world);
+  Holder a("a", world, store);
+  REQUIRE(a.TakeOver(world)->has_value());
+  AddVm(a.writer, "vm-1");
+  a.writer.Flush();
+  world.Advance(seconds(1));
+  const RegionState before = Stored(store);
+  REQUIRE(a.TakeOver(world)->has_value());
+  CHECK(Stored(store).writer == before.writer);
+  CHECK(Stored(store).sequence > before.sequence);
+}
+
 // Guards against a take-over that counts as done while the store is away.
 TEST_CASE("a take-over needs the store") {
   VirtualTimerService world;
--- a/tools/faults/src/main.cc
+++ b/tools/faults/src/main.cc
@@ -1,9 +1,12 @@
+#include <algorithm>
+#include <atomic>
 #include <cxxopts.hpp>
 #include <exception>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "groups.h"
@@ -19,6 +22,7 @@
   std::vector<std::string> faults;
   double pair_share = 1;
   std::string known_red;
+  unsigned jobs = 1;
   bool is_listing = false;
 };
 
@@ -64,6 +68,28 @@
   throw std::invalid_argument("unknown step " + cell.faults.back().step);
 }
 
+/// Runs all cells of a group, several at once. Cells share nothing, and the
+/// report takes them in their order, so the number of threads does not change
+/// the result.
+void RunGroup(const Group& group, const Options& options, Report& report) {
+  const std::vector<Cell> cells =
+      CellsOf(group, options.pair_share, options.seed);
+  std::vector<CellResult> results(cells.size());
+  std::atomic<std::size_t> next = 0;
+  std::vector<std::jthread> threads;
+  for (unsigned i = 0; i < std::max(options.jobs, 1U); ++i) {
+    threads.emplace_back([&] {
+      for (std::size_t n = next++; n < cells.size(); n = next++) {
+        results[n] = RunCell(group, cells[n], options.seed);
+      }
+    });
+  }
+  threads.clear();
+  for (std::size_t n = 0; n < cells.size(); ++n) {
+    report.Add(group, cells[n], results[n]);
+  }
+}
+
 int Main(int argc, char** argv) {
   Options options;
   cxxopts::Options parser("faults", "Runs the fault matrix in virtual time.");
@@ -77,6 +103,8 @@
       "pairs", "share of the pairs of faults to run, 0 to 1",
       cxxopts::value(options.pair_share)->default_value("1"))(
       "list", "list steps and faults", cxxopts::value(options.is_listing))(
+      "jobs", "cells that run at once",
+      cxxopts::value(options.jobs)->default_value("1"))(
       "known-red", "file with commands of cells that are known to fail",
       cxxopts::value(options.known_red))("help", "this text");
   const auto parsed = parser.parse(argc, argv);
@@ -108,10 +136,7 @@
   } else {
     for (const Group& group : AllGroups()) {
       if (!options.group.empty() && options.group != group.name) continue;
-      for (const Cell& cell :
-           CellsOf(group, options.pair_share, options.seed)) {
-        report.Add(group, cell, RunCell(group, cell, options.seed));
-      }
+      RunGroup(group, options, report);
     }
   }
   report.Print(std::cout);
