--- a/tools/faults/src/fleet_scenario.cc
+++ b/tools/faults/src/fleet_scenario.cc
@@ -116,6 +116,17 @@
     it.is_keyed = options_.has_keys && !it.is_repeatable;
   }
   ScheduleCallers(world_, loads, doors, kFirstRequest, kLastRequest);
+  if (!options_.has_moves) return;
+  // More than the pool "quote" can serve, then more than what is left of the
+  // pool "proof".
+  CallerLoad shift = loads.back();
+  shift.rate = 10;
+  shift.service_time = milliseconds(1200);
+  shift.deadline = seconds(4);
+  ScheduleCallers(world_, {shift}, doors, kFirstChange, kSecondChange);
+  shift.queue = loads.front().queue;
+  shift.rate = 20;
+  ScheduleCallers(world_, {shift}, doors, kSecondChange, kLastRequest);
 }
 
 void FleetScenario::ApplyAt(Instant at, std::uint64_t revision) {
