--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -6,4 +6,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh release faults >&2
-exec build/release/tools/faults/faults "$@"
+exec build/release/tools/faults/faults --jobs "${JOBS:-$(nproc)}" "$@"
--- a/tools/faults/src/entry_host.cc
+++ b/tools/faults/src/entry_host.cc
@@ -30,8 +30,7 @@
   return process.name() + ":7000";
 }
 
-EntryNodeSettings SettingsFor(World& world,
-                              const testing::FakeProcess& process,
+EntryNodeSettings SettingsFor(World& world, const testing::FakeProcess& process,
                               const EntryDirectory& entries) {
   EntryNodeSettings settings;
   settings.entry = EntryId(process.name());
@@ -81,15 +80,14 @@
   options.seed = settings.seed;
   router_ = std::make_unique<RouterHost>(world, process, options);
   claims_ = std::make_unique<KeyClaims>(
-      store_, process,
-      KeyClaimsOptions{.incarnation = settings.incarnation});
+      store_, process, KeyClaimsOptions{.incarnation = settings.incarnation});
   router_->on_respond = [this](std::size_t request, Outcome outcome) {
     const std::string& key = world_.evidence.requests[request].key;
     if (key.empty()) return;
-    claims_->Finish(
-        key, {outcome, outcome == Outcome::kAnswered
-                           ? 200
-                           : (outcome == Outcome::kNotRun ? 503 : 504)});
+    claims_->Finish(key,
+                    {outcome, outcome == Outcome::kAnswered
+                                  ? 200
+                                  : (outcome == Outcome::kNotRun ? 503 : 504)});
   };
   EntryNodeHooks hooks = MakeHooks();
   if (world.broken.node_hooks) world.broken.node_hooks(hooks, process);
@@ -129,8 +127,7 @@
 
 void EntryHost::Stop(std::function<void()> done) {
   node_->BeginLeaving();
-  WaitForRequests(
-      [this, done = std::move(done)] { node_->Leave(done); });
+  WaitForRequests([this, done = std::move(done)] { node_->Leave(done); });
 }
 
 void EntryHost::WaitForRequests(const std::function<void()>& done) {
@@ -149,11 +146,10 @@
       process_, [this](StoreCall call, const std::string& key) {
         return StoreStep(call, key);
       });
-  client.put = [this, put = client.put](const std::string& key,
-                                        const std::string& value,
-                                        Version expect, const LeaseId& lease,
-                                        Duration timeout,
-                                        const StoreCallback<Version>& done) {
+  client.put = [this, put = client.put](
+                   const std::string& key, const std::string& value,
+                   Version expect, const LeaseId& lease, Duration timeout,
+                   const StoreCallback<Version>& done) {
     if (key == RegionStateKey(Region())) {
       state_write_step_ = StateWriteStep(value);
     }
@@ -181,7 +177,8 @@
   }
   const bool is_write = call != StoreCall::kGet;
   if (is_state) return is_write ? state_write_step_ : "state.read";
-  if (key.starts_with("claims/")) return is_write ? "claim.write" : "claim.read";
+  if (key.starts_with("claims/"))
+    return is_write ? "claim.write" : "claim.read";
   if (key.starts_with(EntryKeyPrefix(Region()))) {
     return is_write ? "membership.register" : "membership.read";
   }
@@ -195,7 +192,8 @@
   for (const auto& [id, intent] : next->intents) {
     const auto before = now->intents.find(id);
     const bool is_move = intent.kind == IntentKind::kMove;
-    if (before == now->intents.end()) return is_move ? "move.open" : "drain.open";
+    if (before == now->intents.end())
+      return is_move ? "move.open" : "drain.open";
     if (before->second.step == intent.step) continue;
     if (before->second.step == IntentStep::kDrain) {
       return is_move ? "move.write" : "drain.write";
@@ -261,18 +259,18 @@
   std::unique_ptr<EntryHost>* receiver = entry->second;
   world_.network.Send(
       process_, (*receiver)->process_, step,
-      [this, receiver, request, serve, finish, run = run_,
-       from = &process_, network = &world_.network] {
+      [this, receiver, request, serve, finish, run = run_, from = &process_,
+       network = &world_.network] {
         if (!*receiver) return;
         EntryHost& host = **receiver;
         testing::FakeProcess& to = host.process_;
         serve(host, request,
-              [this, from, network, run, finish, &to](const Result<Reply>& reply) {
-                network->Send(to, *from, "membership.reply",
-                              [from, run, finish, reply] {
-                                from->RunInside(run,
-                                                [finish, reply] { finish(reply); });
-                              });
+              [this, from, network, run, finish,
+               &to](const Result<Reply>& reply) {
+                network->Send(
+                    to, *from, "membership.reply", [from, run, finish, reply] {
+                      from->RunInside(run, [finish, reply] { finish(reply); });
+                    });
               });
       });
 }
@@ -299,8 +297,9 @@
           reply(host.node_->HandleFetchState(it));
         });
   };
-  hooks.check_health = [this](const VmId& vm, const std::string&,
-                              std::function<void(Result<EndpointHealth>)> done) {
+  hooks.check_health = [this](
+                           const VmId& vm, const std::string&,
+                           std::function<void(Result<EndpointHealth>)> done) {
     CheckHealth(vm, std::move(done));
   };
   hooks.wall_clock_s = [this] {
@@ -313,9 +312,8 @@
   };
   hooks.declarations_changed =
       [this](std::shared_ptr<const Declarations> declarations) {
-        world_.evidence.in_force.push_back({world_.timers.Now(),
-                                            process_.name(),
-                                            node_->config().revision()});
+        world_.evidence.in_force.push_back(
+            {world_.timers.Now(), process_.name(), node_->config().revision()});
         Post(DeclarationsChanged{std::move(declarations)});
       };
   hooks.permit_changed = [this](Instant valid_until) {
--- a/tools/faults/src/groups.cc
+++ b/tools/faults/src/groups.cc
@@ -3,11 +3,10 @@
 namespace pomelomill::faults {
 
 const std::vector<Group>& AllGroups() {
-  static const std::vector<Group> groups{ApplyGroup(), LeaseGroup(),
-                                         DispatchGroup(), JobsGroup(),
-                                         MembershipGroup(), EntryGroup(),
-                                         ClaimGroup(), MoveGroup(),
-                                         StopGroup()};
+  static const std::vector<Group> groups{
+      ApplyGroup(), LeaseGroup(),      DispatchGroup(),
+      JobsGroup(),  MembershipGroup(), EntryGroup(),
+      ClaimGroup(), MoveGroup(),       StopGroup()};
   return groups;
 }
 
--- a/tools/faults/test/broken_variants_test.cc
+++ b/tools/faults/test/broken_variants_test.cc
@@ -4,8 +4,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "groups.h"
+#include "pomelomill/entry.h"
 #include "pomelomill/store.h"
 #include "router_host.h"
 #include "test_fleet.h"
@@ -246,5 +248,50 @@
   CHECK(found[0].property == "P7");
 }
 
+/// The platform never learns of the first drain, so that the endpoint does not
+/// refuse by itself. The first call is named last, because the last fault must
+/// happen also when the drain ends soon.
+std::vector<ArmedFault> WithoutDrainCalls() {
+  std::vector<ArmedFault> faults;
+  for (std::uint32_t i = 8; i >= 1; --i) {
+    faults.push_back({"drain.call", Fault::kLoseRequest, i});
+  }
+  return faults;
+}
+
+TEST_CASE("P6 reports a data plane that does not learn of intents") {
+  CheckReported(StopGroup(), WithoutDrainCalls(), "P6", [](World& world) {
+    world.broken.node_hooks = [](EntryNodeHooks& hooks,
+                                 testing::FakeProcess& process) {
+      if (process.name() != "entry-2") return;
+      hooks.endpoint_leaving = [](const EndpointLeaving&) {};
+      hooks.table_changed = [change = hooks.table_changed](
+                                const std::shared_ptr<const RegionState>& state,
+                                Version version) {
+        if (state->intents.empty()) change(state, version);
+      };
+    };
+  });
+}
+
+/// Entries confirm a drain whatever runs on the VM, and the endpoint's own
+/// count of requests is not heeded.
+TEST_CASE("P7 reports a controller whose drains are always confirmed") {
+  CheckReported(StopGroup(), {}, "P7", [](World& world) {
+    world.broken.load_report = [](LoadReport& load) { load.in_flight.clear(); };
+    world.broken.node_hooks = [](EntryNodeHooks& hooks, testing::FakeProcess&) {
+      hooks.check_health =
+          [check = hooks.check_health](
+              const VmId& vm, const std::string& address,
+              const std::function<void(Result<EndpointHealth>)>& done) {
+            check(vm, address, [done](Result<EndpointHealth> health) {
+              if (health) health->active = 0;
+              done(health);
+            });
+          };
+    };
+  });
+}
+
 }  // namespace
 }  // namespace pomelomill::faults
