--- a/tools/faults/src/apply_group.cc
+++ b/tools/faults/src/apply_group.cc
@@ -82,7 +82,14 @@
       if (current->apply_id == ApplyId(apply_id)) {
         return End(ApplyOutcome::kAccepted, current->revision);
       }
+      // As the command `apply` does: a repeat is found also after later ones.
+      for (const AcceptedApply& it : current->earlier) {
+        if (it.apply_id == ApplyId(apply_id)) {
+          return End(ApplyOutcome::kAccepted, it.revision);
+        }
+      }
       record.revision = current->revision;
+      record.earlier = AppliesUpTo(*current);
       expect = item->version;
     } else if (item.error() != StoreError::kNotFound) {
       return End(ApplyOutcome::kNotWritten, {});
@@ -238,7 +245,10 @@
   void WriteOver() {
     ConfigRecord record;
     const auto current = ReadConfigRecord(world_.store.Read(kConfigKey).value);
-    if (current) record.revision = current->revision;
+    if (current) {
+      record.revision = current->revision;
+      record.earlier = AppliesUpTo(*current);
+    }
     record.revision = record.revision.Next();
     record.author = "operator-9";
     record.writer = "operator-9/1";
--- a/tools/faults/src/callers.cc
+++ b/tools/faults/src/callers.cc
@@ -20,7 +20,7 @@
 void Arrive(World& world, const Arrival& arrival,
             const std::vector<EntryDoor>& doors, std::size_t first) {
   for (std::size_t i = 0; i < doors.size(); ++i) {
-    const EntryDoor door = doors[(first + i) % doors.size()];
+    const EntryDoor& door = doors[(first + i) % doors.size()];
     if (!door.process->is_running()) continue;
     if (door.is_ready && !door.is_ready()) continue;
     const std::size_t index = world.evidence.requests.size();
--- a/tools/faults/src/entry_host.cc
+++ b/tools/faults/src/entry_host.cc
@@ -22,7 +22,7 @@
 /// Pause between two looks at whether all requests have ended.
 constexpr Duration kDrainPoll = milliseconds(50);
 /// Wall-clock time of the start of every cell.
-constexpr std::int64_t kStart_s = 1'700'000'000;
+constexpr std::int64_t kStartSeconds = 1'700'000'000;
 
 RegionId Region() { return RegionId(kRegion); }
 
@@ -259,14 +259,13 @@
   std::unique_ptr<EntryHost>* receiver = entry->second;
   world_.network.Send(
       process_, (*receiver)->process_, step,
-      [this, receiver, request, serve, finish, run = run_, from = &process_,
+      [receiver, request, serve, finish, run = run_, from = &process_,
        network = &world_.network] {
         if (!*receiver) return;
         EntryHost& host = **receiver;
         testing::FakeProcess& to = host.process_;
         serve(host, request,
-              [this, from, network, run, finish,
-               &to](const Result<Reply>& reply) {
+              [from, network, run, finish, &to](const Result<Reply>& reply) {
                 network->Send(
                     to, *from, "membership.reply", [from, run, finish, reply] {
                       from->RunInside(run, [finish, reply] { finish(reply); });
@@ -303,7 +302,7 @@
     CheckHealth(vm, std::move(done));
   };
   hooks.wall_clock_s = [this] {
-    return kStart_s + ToMillis(process_.Now().time_since_epoch()) / 1000;
+    return kStartSeconds + ToMillis(process_.Now().time_since_epoch()) / 1000;
   };
   hooks.utc_offset_s = [] { return std::int64_t{0}; };
   hooks.table_changed = [this](std::shared_ptr<const RegionState> state,
