Adopt unknown VMs only after three lists, and keep the places of named ones

Cause: one wrong VM list named an unknown id at the address of a VM.

Change: a VM that no pool names is adopted once three successive lists have shown it, and a named VM that is not listed yet keeps its place.

--- a/libs/control/include/pomelomill/control/vm_adoption.h
+++ b/libs/control/include/pomelomill/control/vm_adoption.h
@@ -11,6 +11,13 @@
 
 class VmListTracker;
 
+/// The records that may be adopted: of VMs that a pool names, and of others
+/// once three successive lists have shown them. One wrong list must not bring a
+/// VM into a pool under an id that does not exist.
+std::vector<VmRecord> SettledVms(const std::vector<VmRecord>& listed,
+                                 const VmListTracker& tracker,
+                                 const Declarations& declarations);
+
 /// Adds listed VMs that the region state does not hold. Each joins the pool
 /// that names it, otherwise the pool of the region that lacks most VMs of its
 /// declared size, otherwise the spare pool. Returns the VMs added; a VM that
--- a/libs/control/src/controller.cc
+++ b/libs/control/src/controller.cc
@@ -155,9 +155,10 @@
     for (const VmListEvent& it : tracker_.Observe(listed, timers_.Now()))
       RecordChange(it);
     if (!declarations_) return;
-    writer_.Propose([this, listed, declarations = declarations_](
+    writer_.Propose([this, declarations = declarations_,
+                     settled = SettledVms(listed, tracker_, *declarations_)](
                         RegionState* state, Version) {
-      AdoptVms(state, *declarations, listed);
+      AdoptVms(state, *declarations, settled);
       FollowVmList(state, tracker_);
     });
   }
--- a/libs/control/src/vm_adoption.cc
+++ b/libs/control/src/vm_adoption.cc
@@ -1,5 +1,6 @@
 #include "pomelomill/control/vm_adoption.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,6 +11,8 @@
 namespace pomelomill {
 namespace {
 
+constexpr std::size_t kListsToAdopt = 3;
+
 using PoolSizes = std::map<PoolId, std::uint32_t>;
 
 std::map<VmId, PoolId> DeclaredPools(const Declarations& declarations,
@@ -44,11 +47,32 @@
 
 }  // namespace
 
+std::vector<VmRecord> SettledVms(const std::vector<VmRecord>& listed,
+                                 const VmListTracker& tracker,
+                                 const Declarations& declarations) {
+  std::set<VmId> named;
+  for (const auto& [id, pool] : declarations.pools)
+    named.insert(pool.vms.begin(), pool.vms.end());
+  std::vector<VmRecord> settled;
+  for (const VmRecord& it : listed) {
+    const TrackedVm* tracked = tracker.Find(it.id);
+    const bool is_settled =
+        tracked != nullptr && tracked->lists >= kListsToAdopt;
+    if (is_settled || named.contains(it.id)) settled.push_back(it);
+  }
+  return settled;
+}
+
 std::vector<VmId> AdoptVms(RegionState* state, const Declarations& declarations,
                            const std::vector<VmRecord>& listed) {
   const auto declared = DeclaredPools(declarations, state->region);
+  // A VM that a pool names keeps its place also before it is listed, so that
+  // an unknown id does not take it.
   PoolSizes sizes;
   for (const auto& [id, vm] : state->vms) ++sizes[vm.pool];
+  for (const auto& [id, pool] : declared) {
+    if (!state->vms.contains(id)) ++sizes[pool];
+  }
 
   std::vector<const VmRecord*> open;
   std::vector<VmId> adopted;
@@ -68,6 +92,7 @@
     if (it == declared.end()) {
       open.push_back(&record);
     } else {
+      --sizes[it->second];
       add(record, it->second);
     }
   }
--- a/libs/platform/include/pomelomill/platform/vm_list_tracker.h
+++ b/libs/platform/include/pomelomill/platform/vm_list_tracker.h
@@ -37,6 +37,8 @@
 struct TrackedVm {
   VmRecord record;
   bool is_missing = false;
+  /// Successive lists that showed the VM, up to the latest.
+  std::size_t lists = 0;
   /// Successive lists without the VM and the time of the first of them.
   std::size_t missed_lists = 0;
   Instant missed_since{};
--- a/libs/platform/src/vm_list_tracker.cc
+++ b/libs/platform/src/vm_list_tracker.cc
@@ -26,6 +26,7 @@
                                   std::vector<VmListEvent>* events) {
   const auto [it, is_new] = vms_.try_emplace(record.id);
   TrackedVm& vm = it->second;
+  ++vm.lists;
   const auto note = [&](VmListChange change) {
     events->push_back({change, record.id, record.generation});
   };
@@ -70,6 +71,7 @@
   for (auto it = vms_.begin(); it != vms_.end();) {
     TrackedVm& vm = it->second;
     if (!listed.contains(it->first)) {
+      vm.lists = 0;
       if (vm.missed_lists++ == 0) vm.missed_since = now;
       const Duration missed = now - vm.missed_since;
       if (missed >= settings_.forget_after) {
