Connect at-most-once keys to the data plane of serve

Cause: ServeProcess had the code for claims and forwarding, but the hooks of the traffic server were never set. Every request with a caller's own key was refused, and a key issued by another entry had an unknown outcome. The forwarded message also lacked queue and team, so the peer refused it.

Change: claim_key, finish_key and forward_keyed post to the control thread. The message to the issuer carries queue and team. The issuer's reply is given to gRPC from the control thread, like those of the other handlers.

--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -223,6 +223,30 @@
         .on_admin =
             [this](IncomingRequest request, RespondHook respond) {
               OnAdmin(std::move(request), std::move(respond));
+            },
+        .forward_keyed =
+            [this](IncarnationId issuer, IncomingRequest request,
+                   RespondHook respond) {
+              asio::post(control_, [this, issuer = std::move(issuer),
+                                    request = std::move(request),
+                                    respond = std::move(respond)] {
+                ForwardKeyed(issuer, request, respond);
+              });
+            },
+        .claim_key =
+            [this](std::string key, std::function<void(ClaimResult)> done) {
+              asio::post(control_, [this, key = std::move(key),
+                                    done = std::move(done)] {
+                claims_.Claim(key, [this, done](ClaimResult claim) {
+                  asio::post(traffic_, [done, claim] { done(claim); });
+                });
+              });
+            },
+        .finish_key =
+            [this](std::string key, KeyOutcome outcome) {
+              asio::post(control_, [this, key = std::move(key), outcome] {
+                claims_.Finish(key, outcome);
+              });
             }};
   }
 
@@ -311,13 +335,19 @@
   void ForwardKeyed(const IncarnationId& issuer, const IncomingRequest& request,
                     const RespondHook& respond) {
     const std::string address = node_.PeerAddress(issuer);
-    if (address.empty()) {
+    const auto declarations = node_.config().declarations();
+    const auto parsed = ParseCallerRequest(
+        request, declarations ? *declarations : Declarations());
+    // The message to the peer needs a declared queue.
+    if (address.empty() || !parsed) {
       RespondOnTraffic(respond, ResponseFor({.outcome = Outcome::kUnknown}));
       return;
     }
     RunKeyedRequest keyed{.key = std::string(request.header("Idempotency-Key")),
                           .method = request.method,
+                          .queue = parsed->queue,
                           .path = request.target,
+                          .team = parsed->team,
                           .deadline = kForwardTimeout,
                           .body = request.body};
     for (const HttpHeader& it : request.headers)
@@ -345,13 +375,14 @@
     for (const PeerHeader& it : keyed.headers)
       request.headers.push_back({it.name, it.value});
     traffic_server_.RunForPeer(
-        std::move(request), [done](const OutgoingResponse& response) {
+        std::move(request), [this, done](const OutgoingResponse& response) {
           RunKeyedReply reply{.outcome = KeyedOutcome::kAnswered,
                               .status = response.status,
                               .body = response.body};
           for (const HttpHeader& it : response.headers)
             reply.headers.push_back({it.name, it.value});
-          done(reply);
+          asio::post(control_,
+                     [done, reply = std::move(reply)] { done(reply); });
         });
   }
 
--- a/app/test/region_commands_test.cc
+++ b/app/test/region_commands_test.cc
@@ -233,6 +233,31 @@
     CHECK(documented_names.size() == 11);
   }
 
+  SUBCASE("a key of a caller and a key of another entry run once") {
+    // Requests are not run while the entry's slot share has not grown yet; a
+    // request that was not run releases its key.
+    REQUIRE(Eventually([&] {
+      return region.a->Call("/proof/layout/1", "order-1").response.status ==
+             200;
+    }));
+    CHECK(region.b->Call("/proof/layout/1", "order-1").response.status == 409);
+    const HttpResult issued =
+        CallAndWait({.method = "POST",
+                     .url = AdminUrl(region.b->callers(), "/-/keys?n=1")});
+    const Json keys = Json::parse(issued.response.body, nullptr, false);
+    REQUIRE(keys.contains("keys"));
+    const std::string key = keys["keys"][0];
+    HttpResult forwarded;
+    const bool is_answered = Eventually([&] {
+      forwarded = region.a->Call("/proof/layout/1", key);
+      return forwarded.response.status == 200;
+    });
+    REQUIRE_MESSAGE(is_answered,
+                    forwarded.response.status << forwarded.response.body);
+    CHECK(region.a->Call("/proof/layout/1", key).response.status == 409);
+    CHECK(region.b->Call("/proof/layout/1", key).response.status == 409);
+  }
+
   SUBCASE("the log and the end of an entry") {
     const auto has_line = [&](const std::string& text) {
       return Has(region.a->log(), text) || Has(region.b->log(), text);
--- a/app/test/region_fixture.cc
+++ b/app/test/region_fixture.cc
@@ -249,9 +249,11 @@
                       .timeout = seconds(5)});
 }
 
-HttpResult EntryProcess::Call(const std::string& path) const {
-  return CallAndWait(
-      {.url = AdminUrl(callers(), path), .timeout = seconds(10)});
+HttpResult EntryProcess::Call(const std::string& path,
+                              const std::string& key) const {
+  HttpRequest request{.url = AdminUrl(callers(), path), .timeout = seconds(10)};
+  if (!key.empty()) request.headers.push_back({"Idempotency-Key", key});
+  return CallAndWait(std::move(request));
 }
 
 bool EntryProcess::is_ready() const {
--- a/app/test/region_fixture.h
+++ b/app/test/region_fixture.h
@@ -83,7 +83,7 @@
 
   /// Response of the admin page, or of the callers' address.
   HttpResult Admin(const std::string& method, const std::string& path) const;
-  HttpResult Call(const std::string& path) const;
+  HttpResult Call(const std::string& path, const std::string& key = "") const;
   bool is_ready() const;
 
   /// What the process has logged so far.
