--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -235,12 +235,10 @@
             },
         .claim_key =
             [this](std::string key, std::function<void(ClaimResult)> done) {
-              asio::post(control_, [this, key = std::move(key),
-                                    done = std::move(done)] {
-                claims_.Claim(key, [this, done](ClaimResult claim) {
-                  asio::post(traffic_, [done, claim] { done(claim); });
-                });
-              });
+              asio::post(control_,
+                         [this, key = std::move(key), done = std::move(done)] {
+                           ClaimKey(key, done);
+                         });
             },
         .finish_key =
             [this](std::string key, KeyOutcome outcome) {
@@ -250,6 +248,13 @@
             }};
   }
 
+  void ClaimKey(const std::string& key,
+                const std::function<void(ClaimResult)>& done) {
+    claims_.Claim(key, [this, done](const ClaimResult& result) {
+      asio::post(traffic_, [done, result] { done(result); });
+    });
+  }
+
   EntryNodeSettings MakeNodeSettings() const {
     EntryNodeSettings settings;
     settings.entry = settings_.entry;
@@ -335,21 +340,18 @@
   void ForwardKeyed(const IncarnationId& issuer, const IncomingRequest& request,
                     const RespondHook& respond) {
     const std::string address = node_.PeerAddress(issuer);
-    const auto declarations = node_.config().declarations();
-    const auto parsed = ParseCallerRequest(
-        request, declarations ? *declarations : Declarations());
-    // The message to the peer needs a declared queue.
-    if (address.empty() || !parsed) {
+    if (address.empty()) {
       RespondOnTraffic(respond, ResponseFor({.outcome = Outcome::kUnknown}));
       return;
     }
-    RunKeyedRequest keyed{.key = std::string(request.header("Idempotency-Key")),
-                          .method = request.method,
-                          .queue = parsed->queue,
-                          .path = request.target,
-                          .team = parsed->team,
-                          .deadline = kForwardTimeout,
-                          .body = request.body};
+    RunKeyedRequest keyed{
+        .key = std::string(request.header("Idempotency-Key")),
+        .method = request.method,
+        .queue = QueueId(std::string(QueueOfTarget(request.target))),
+        .path = request.target,
+        .team = TeamId(std::string(request.header("Pomelomill-Team"))),
+        .deadline = kForwardTimeout,
+        .body = request.body};
     for (const HttpHeader& it : request.headers)
       keyed.headers.push_back({it.name, it.value});
     peer_client_.RunKeyed(address, keyed, kForwardTimeout,
--- a/app/test/region_fixture.cc
+++ b/app/test/region_fixture.cc
@@ -249,11 +249,9 @@
                       .timeout = seconds(5)});
 }
 
-HttpResult EntryProcess::Call(const std::string& path,
-                              const std::string& key) const {
-  HttpRequest request{.url = AdminUrl(callers(), path), .timeout = seconds(10)};
-  if (!key.empty()) request.headers.push_back({"Idempotency-Key", key});
-  return CallAndWait(std::move(request));
+HttpResult EntryProcess::Call(const std::string& path) const {
+  return CallAndWait(
+      {.url = AdminUrl(callers(), path), .timeout = seconds(10)});
 }
 
 bool EntryProcess::is_ready() const {
--- a/libs/maintenance/test/wave_scheduler_test.cc
+++ b/libs/maintenance/test/wave_scheduler_test.cc
@@ -156,6 +156,48 @@
   CHECK(fixture.wave().done.size() == 12);
 }
 
+// Guards against a wave that stops because its controller could not see the
+// VMs return while the store was away.
+TEST_CASE("time that nobody observed is no evidence against a wave") {
+  WaveFixture fixture = WaveFixture::Generate(1, 2, 12);
+  for (const auto& [id, vm] : fixture.state->vms) fixture.broken.insert(id);
+  WaveScheduler scheduler;
+  fixture.Run(scheduler, seconds(5), 4);
+  REQUIRE(fixture.state->intents.size() > 2);
+  REQUIRE(fixture.wave().phase == WavePhase::kRunning);
+  fixture.now += std::chrono::minutes(10);
+  fixture.Step(scheduler);
+  CHECK(fixture.wave().phase == WavePhase::kRunning);
+  CHECK(fixture.wave().failed.empty());
+
+  // Observed time still counts.
+  fixture.Run(scheduler, seconds(5), 1000);
+  CHECK(fixture.wave().phase == WavePhase::kStoppedByItself);
+}
+
+// Guards against VMs that are taken while an entry is replaced, when the slots
+// of that entry serve nothing.
+TEST_CASE("a wave takes fewer VMs while slots of an entry are unused") {
+  WaveFixture fixture = WaveFixture::Generate(1, 2, 12);
+  const auto share = [](const char* name, SharePhase phase) {
+    return EntryShare{.entry = EntryId(name),
+                      .incarnation = IncarnationId(name),
+                      .weight = 1,
+                      .phase = phase};
+  };
+  fixture.state->shares = {share("e1", SharePhase::kActive),
+                           share("e2", SharePhase::kActive)};
+  WaveScheduler whole;
+  const std::size_t all = fixture.Step(whole).actions.size();
+  REQUIRE(all > 0);
+
+  fixture.state->intents.clear();
+  fixture.state->waves.clear();
+  fixture.state->shares[1].phase = SharePhase::kLeaving;
+  WaveScheduler reduced;
+  CHECK(fixture.Step(reduced).actions.size() < all);
+}
+
 // Guards against a long wave that risks all VMs that the budgets let go before
 // the first one has returned.
 TEST_CASE("the first batch of a long wave is smaller") {
--- a/tools/load/load_run.h
+++ b/tools/load/load_run.h
@@ -11,6 +11,15 @@
 
 namespace pomelomill::load {
 
+/// The idempotency key of a request.
+enum class KeyKind {
+  kNone,
+  /// Issued by one entry; the request is sent to another one.
+  kIssued,
+  /// Chosen by the caller.
+  kOwn,
+};
+
 /// One queue that the generator sends to.
 struct QueueLoad {
   /// "SERVICE/QUEUE".
@@ -18,11 +27,16 @@
   double mean_rate = 10;
   /// True for requests that must run at most once.
   bool is_order = false;
+  KeyKind key = KeyKind::kNone;
 };
 
 struct LoadOptions {
   /// "http://ip:port" of the entries; requests take turns.
   std::vector<std::string> targets;
+  /// Addresses that answer 200 while the target of the same position is
+  /// ready, as a load balancer asks them. Empty: all targets are ready.
+  std::vector<std::string> readiness;
+  Duration readiness_interval = std::chrono::milliseconds(500);
   std::vector<QueueLoad> queues;
   Duration duration = std::chrono::seconds(30);
   /// Each queue in turn has its peak for this time.
@@ -53,7 +67,11 @@
   std::string queue;
   bool is_order = false;
   CallResult result = CallResult::kBroken;
+  /// When it was sent, since the start of the run.
+  Duration started{};
   Duration latency{};
+  /// The reason that the entry gave for a response of its own.
+  std::string reason;
 };
 
 /// Sends requests with exponential gaps, per queue, with peaks in turn, and
@@ -73,8 +91,20 @@
   void ScheduleNext(std::size_t queue);
   double RateOf(std::size_t queue) const;
   void Call(std::size_t queue);
-  void Send(const std::string& id, std::uint64_t target, Instant started,
-            std::size_t tries);
+  void Send(const std::string& id, std::uint64_t target, std::size_t tries);
+  /// Asks an entry for a key and sends the request to the next entry.
+  void AskForKey(const std::string& id, std::uint64_t target);
+  /// Sends a request with a key, of one caller in ten twice at once; a caller
+  /// that learned no outcome asks again with the same key.
+  void SendKeyed(const std::string& id, const std::string& key,
+                 std::uint64_t target, std::size_t tries);
+  HttpRequest RequestFor(const std::string& id, std::uint64_t target) const;
+  /// Records a response unless the request already has its whole answer.
+  void Note(const std::string& id, const HttpResult& result);
+  void Finish(const std::string& id, const HttpResult& result);
+  void AskReadiness(std::size_t target);
+  /// The first target from `target` on that is ready; `target` if none is.
+  std::uint64_t ReadyFrom(std::uint64_t target) const;
   void CheckDone();
 
   HttpClient& client_;
@@ -87,6 +117,7 @@
   std::size_t open_ = 0;
   std::size_t sending_ = 0;
   std::map<std::string, CallRecord> calls_;
+  std::vector<bool> is_ready_;
 };
 
 }  // namespace pomelomill::load
