--- a/app/serve_process.cc
+++ b/app/serve_process.cc
@@ -377,13 +377,14 @@
     for (const PeerHeader& it : keyed.headers)
       request.headers.push_back({it.name, it.value});
     traffic_server_.RunForPeer(
-        std::move(request), [done](const OutgoingResponse& response) {
+        std::move(request), [this, done](const OutgoingResponse& response) {
           RunKeyedReply reply{.outcome = KeyedOutcome::kAnswered,
                               .status = response.status,
                               .body = response.body};
           for (const HttpHeader& it : response.headers)
             reply.headers.push_back({it.name, it.value});
-          done(reply);
+          asio::post(control_,
+                     [done, reply = std::move(reply)] { done(reply); });
         });
   }
 
