Test that entries are ready only with slots and pass them on when they stop

Change: the stub reports slots 3 s after the region state gives a share, as libs/routing does. A new case steps 15 s in 50 ms and finds no ready entry without slots; the case of a leaving entry checks that its share is gone when the stop is done.

--- a/libs/entry/test/entry_node_test.cc
+++ b/libs/entry/test/entry_node_test.cc
@@ -1,10 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,8 +55,13 @@
   return ToJson(record);
 }
 
-/// One entry. Its data plane has no requests: it only holds the table and the
-/// permit that the node gave it, as the traffic thread does.
+/// Time from the region state that gives an entry its share until the data
+/// plane uses it, as in libs/routing.
+constexpr Duration kGrowthDelay = seconds(3);
+
+/// One entry. Its data plane has no requests: it holds the table and the permit
+/// that the node gave it, as the traffic thread does, and reports the slots
+/// that it may use.
 struct Entry {
   explicit Entry(FakeProcess& entry_process) : process(entry_process) {}
 
@@ -62,7 +69,13 @@
   DecisionLog decisions;
   Instant permit_until{};
   Version table_version;
+  /// Since when the table gives this entry a share.
+  std::optional<Instant> share_since;
   std::unique_ptr<EntryNode> node;
+
+  bool has_slots() const {
+    return share_since && process.Now() - *share_since >= kGrowthDelay;
+  }
 };
 
 class EntryRegion {
@@ -153,6 +166,7 @@
     if (entry.process.run() != run) return;
     LoadReport load{.entry = EntryId(entry.process.name()),
                     .table_version = entry.table_version};
+    if (entry.has_slots()) load.pools[PoolId("a")] = {.free_slots = 8};
     entry.node->TrafficReported({.load = load, .queues = {}});
     entry.process.ScheduleAfter(milliseconds(100),
                                 [this, &entry, run] { Report(entry, run); });
@@ -224,9 +238,19 @@
         };
     hooks.wall_clock_s = [] { return std::int64_t{1'700'000'000}; };
     hooks.utc_offset_s = [] { return std::int64_t{0}; };
-    hooks.table_changed = [&entry](const std::shared_ptr<const RegionState>&,
-                                   Version version) {
+    hooks.table_changed = [&entry](
+                              const std::shared_ptr<const RegionState>& state,
+                              Version version) {
       entry.table_version = version;
+      const bool has_share =
+          std::any_of(state->shares.begin(), state->shares.end(),
+                      [&entry](const EntryShare& it) {
+                        return it.entry.value() == entry.process.name() &&
+                               it.phase == SharePhase::kActive;
+                      });
+      if (!has_share) entry.share_since.reset();
+      if (has_share && !entry.share_since)
+        entry.share_since = entry.process.Now();
     };
     hooks.declarations_changed =
         [](const std::shared_ptr<const Declarations>&) {};
@@ -264,6 +288,22 @@
   }
 }
 
+// Guards against an entry that takes requests before it has slots: each of them
+// was refused for the 3 s until the share had grown.
+TEST_CASE("an entry is ready only once it has slots") {
+  EntryRegion region(3);
+  std::size_t ready = 0;
+  for (Duration at{}; at < seconds(15); at += milliseconds(50)) {
+    region.Advance(milliseconds(50));
+    for (std::size_t i = 0; i < region.size(); ++i) {
+      if (!region.IsReady(i)) continue;
+      ++ready;
+      CHECK(region.entry(i).has_slots());
+    }
+  }
+  CHECK(ready > 0);
+}
+
 // Guards against a region without control after the death of the holder, and
 // against a second holder before the first one's lease has lapsed.
 TEST_CASE("another entry takes over from a holder that died") {
@@ -302,12 +342,17 @@
   region.entry(leaving).node->BeginLeaving();
   CHECK_FALSE(region.IsReady(leaving));
   region.Advance(seconds(3));
+  std::uint32_t weight_at_end = 0;
   region.entry(leaving).node->Leave([&] {
     is_done = true;
+    weight_at_end = region.Weight(leaving);
     region.process(leaving).Crash();
   });
   region.Advance(seconds(5));
   CHECK(is_done);
+  // A share that outlives its owner stays unused until the lease has lapsed
+  // and the others have had no contact for 10 s.
+  CHECK(weight_at_end == 0);
   region.Advance(seconds(10));
   CHECK(region.Weight(leaving) == 0);
   CHECK(region.shares() == 2);
