--- a/libs/jobs/test/differential_test.cc
+++ b/libs/jobs/test/differential_test.cc
@@ -40,14 +40,14 @@
     const auto n = 2 + random_.Below(5);
     for (std::uint64_t i = 0; i < n; ++i) {
       Worker worker;
-      worker.record = {
-          WorkerId("w" + std::to_string(i)),
-          RackId("r" + std::to_string(i / 2)),
-          ZoneId("z" + std::to_string(i / 2 % 2)),
-          {8.0 + 8.0 * random_.Below(3), 16384.0 * (1 + random_.Below(3)),
-           2.0 * random_.Below(2)},
-          {},
-          {}};
+      worker.record = {WorkerId("w" + std::to_string(i)),
+                       RackId("r" + std::to_string(i / 2)),
+                       ZoneId("z" + std::to_string(i / 2 % 2)),
+                       {static_cast<double>(8 + 8 * random_.Below(3)),
+                        static_cast<double>(16384 * (1 + random_.Below(3))),
+                        static_cast<double>(2 * random_.Below(2))},
+                       {},
+                       {}};
       workers_[worker.record.id] = worker;
     }
     const auto teams = 1 + random_.Below(4);
@@ -79,7 +79,7 @@
     bool is_lost = false;
     std::uint32_t lists_missed = 0;
   };
-  struct Run_ {
+  struct Attempt {
     JobId job;
     std::string logical;
     WorkerId worker;
@@ -187,7 +187,7 @@
         ended.push_back(id);
     }
     for (const TaskId& id : ended) {
-      const Run_ run = runs_[id];
+      const Attempt run = runs_[id];
       Job& job = jobs_[run.job];
       if (!job.is_cancelled) job.waiting.insert(run.logical);
       if (run.leaves_by == TaskOperation::kCheckpoint) {
@@ -259,7 +259,7 @@
   void Do(const StartTask& action, std::deque<JobEvent>& events) {
     const TaskId& id = action.start.task;
     Job& job = jobs_[action.job];
-    Run_ run{action.job, Logical(id), action.worker, action.start.size};
+    Attempt run{action.job, Logical(id), action.worker, action.start.size};
     ++starts_;
     if (job.is_cancelled) Fail("cancelled " + id.value() + " was started");
     const Worker& worker = workers_[action.worker];
@@ -286,7 +286,7 @@
 
   /// Checks a start against the order in which the naive scheduler serves the
   /// tasks that wait.
-  void CheckOrder(const Job& job, const Run_& run) {
+  void CheckOrder(const Job& job, const Attempt& run) {
     if (instance_.has_preemption || HasLostRun()) return;
     const NaiveScheduler naive = Naive();
     const NaiveTask started = ToNaive(run.job, job, run.size);
@@ -309,7 +309,7 @@
     const auto it = runs_.find(action.task);
     CallOutcome outcome = CallOutcome::kRefused;
     if (it != runs_.end()) {
-      Run_& run = it->second;
+      Attempt& run = it->second;
       const Job& job = jobs_[run.job];
       if (!job.is_cancelled && !run.is_leaving)
         CheckVictim(job, run, action.operation);
@@ -335,7 +335,8 @@
     }
   }
 
-  void CheckVictim(const Job& job, const Run_& run, TaskOperation operation) {
+  void CheckVictim(const Job& job, const Attempt& run,
+                   TaskOperation operation) {
     if (!instance_.has_preemption) Fail("a task was preempted");
     if (job.job_class.is_urgent)
       Fail("urgent " + run.logical + " was preempted");
@@ -497,7 +498,7 @@
   std::map<WorkerId, Worker> workers_;
   std::map<TeamId, NaiveTeam> teams_;
   std::map<JobId, Job> jobs_;
-  std::map<TaskId, Run_> runs_;
+  std::map<TaskId, Attempt> runs_;
   std::vector<JobEvent> unanswered_;
   std::uint64_t next_ = 0;
   std::uint64_t starts_ = 0;
