Split EntryNode and remove a function that only a test used

SlotShares had a second rule for the slots of an entry beside ShareOf, used by one test.

Change: EndpointReporter publishes the conditions of endpoints, SlotReadiness decides whether the entry has slots; the part of the whole that the simulation of membership checks is computed in that test. No behaviour changes.

--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -1,9 +1,9 @@
 #include "pomelomill/entry/entry_node.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
+#include "endpoint_reporter.h"
 #include "pomelomill/base/random.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/control/region_writer.h"
@@ -19,6 +19,7 @@
 #include "pomelomill/routing/slot_share.h"
 #include "pomelomill/store/key_watcher.h"
 #include "pomelomill/store/store_error.h"
+#include "slot_readiness.h"
 
 namespace pomelomill {
 namespace {
@@ -41,6 +42,7 @@
         timers_(timers),
         hooks_(std::move(hooks)),
         random_(settings_.seed),
+        slots_(settings_.incarnation),
         table_(self_, settings_.membership),
         permit_(settings_.incarnation, settings_.membership),
         registrations_(settings_.membership),
@@ -96,7 +98,7 @@
     demand_.Observe(report.queues, timers_.Now());
     traffic_ = std::move(report);
     UpdateSharesVersion();
-    UpdateSlots();
+    if (state_.value()) slots_.Update(*state_.value(), traffic_.load);
   }
 
   void HandleExchange(const ExchangeMessage& message,
@@ -120,7 +122,7 @@
 
   bool is_ready() const {
     return !is_leaving_ && config_.revision() > Revision() && state_.value() &&
-           has_slots_ && permit_.Check(timers_.Now()).is_allowed();
+           slots_.has_slots() && permit_.Check(timers_.Now()).is_allowed();
   }
 
   EntryStatus status() const {
@@ -221,7 +223,8 @@
   /// more: then its successor need not wait until its lease has lapsed.
   void WaitForHandover() {
     const auto state = state_.value();
-    const bool has_share = state && FindOwnShare(*state) != nullptr;
+    const bool has_share =
+        state && FindShare(*state, settings_.incarnation) != nullptr;
     const bool has_others = state && state->shares.size() > 1;
     if (has_share && has_others && timers_.Now() < leave_until_)
       return After(kPermitInterval, &Impl::WaitForHandover);
@@ -229,36 +232,6 @@
     registrar_.Stop(std::move(leave_done_));
   }
 
-  const EntryShare* FindOwnShare(const RegionState& state) const {
-    const auto it =
-        std::find_if(state.shares.begin(), state.shares.end(),
-                     [this](const EntryShare& share) {
-                       return share.incarnation == settings_.incarnation;
-                     });
-    return it == state.shares.end() ? nullptr : &*it;
-  }
-
-  /// A share grows only some seconds after the region state that gives it;
-  /// until then every request would be refused. Once the entry has had slots,
-  /// endpoints that fail later do not make it unready.
-  void UpdateSlots() {
-    const auto state = state_.value();
-    if (!state) return;
-    const EntryShare* own = FindOwnShare(*state);
-    if (own == nullptr || own->phase != SharePhase::kActive) {
-      has_slots_ = false;
-      return;
-    }
-    const bool has_endpoints = std::any_of(
-        state->vms.begin(), state->vms.end(),
-        [](const auto& it) { return it.second.phase == VmPhase::kActive; });
-    const auto& pools = traffic_.load.pools;
-    has_slots_ = has_slots_ || !has_endpoints ||
-                 std::any_of(pools.begin(), pools.end(), [](const auto& it) {
-                   return it.second.free_slots + it.second.in_flight > 0;
-                 });
-  }
-
   // Configuration and region state.
 
   /// The read that the send permit asks for after each registration.
@@ -463,27 +436,8 @@
     for (const auto& [incarnation, member] : table_.members())
       book_.SetMember(member.info);
     book_.SetMember(table_.self());
-    PublishEndpoints();
-  }
-
-  void PublishEndpoints() {
-    if (!state_.value()) return;
-    for (const auto& [id, vm] : state_.value()->vms) {
-      EndpointUpdate update{.vm = id, .generation = vm.generation};
-      if (traffic_.load.ejected.contains(id))
-        update.condition = EndpointCondition::kEjected;
-      const auto draining = traffic_.load.draining.find(id);
-      if (draining != traffic_.load.draining.end()) {
-        update.condition = EndpointCondition::kDraining;
-        update.generation = draining->second;
-      }
-      // Good endpoints are listed only when they were reported otherwise.
-      if (update.condition == EndpointCondition::kGood &&
-          !reported_.contains(id))
-        continue;
-      reported_.insert(id);
-      book_.SetEndpoint(update);
-    }
+    if (state_.value())
+      endpoint_reporter_.Publish(*state_.value(), traffic_.load, &book_);
   }
 
   // Permit, drains and shares.
@@ -554,6 +508,7 @@
   StateGate<Version, RegionState> state_;
   bool is_fetching_ = false;
 
+  SlotReadiness slots_;
   MemberTable table_;
   SendPermit permit_;
   Registrations registrations_;
@@ -561,8 +516,7 @@
   ExchangeLoop loop_;
   DemandMeter demand_;
   TrafficReport traffic_;
-  /// Endpoints that were published as not good at some time.
-  std::set<VmId> reported_;
+  EndpointReporter endpoint_reporter_;
   Version shares_version_;
   std::vector<EntryShare> seen_shares_;
   Version shares_changed_at_;
@@ -575,7 +529,6 @@
   KeyWatcher state_watcher_;
   Registrar registrar_;
   Controller controller_;
-  bool has_slots_ = false;
   Instant leave_until_{};
   std::function<void()> leave_done_;
   bool is_leaving_ = false;
--- a/libs/membership/include/pomelomill/membership/slot_shares.h
+++ b/libs/membership/include/pomelomill/membership/slot_shares.h
@@ -32,11 +32,6 @@
                                          Version changed_at,
                                          Version self_shares_version,
                                          const FencingView& view, Instant now);
-
-  /// Slots of `total` that the incarnation may use, rounded down, at least 0.
-  static std::uint32_t SlotsOf(const std::vector<EntryShare>& shares,
-                               const IncarnationId& incarnation,
-                               std::uint32_t total);
 };
 
 }  // namespace pomelomill
--- a/libs/membership/src/slot_shares.cc
+++ b/libs/membership/src/slot_shares.cc
@@ -124,20 +124,4 @@
   return change;
 }
 
-std::uint32_t SlotShares::SlotsOf(const std::vector<EntryShare>& shares,
-                                  const IncarnationId& incarnation,
-                                  std::uint32_t total) {
-  std::uint64_t sum = 0;
-  std::uint64_t own = 0;
-  for (const EntryShare& share : shares) {
-    sum += share.weight;
-    if (share.incarnation == incarnation &&
-        share.phase == SharePhase::kActive) {
-      own += share.weight;
-    }
-  }
-  if (sum == 0) return 0;
-  return static_cast<std::uint32_t>(own * total / sum);
-}
-
 }  // namespace pomelomill
--- a/libs/membership/test/membership_simulation.cc
+++ b/libs/membership/test/membership_simulation.cc
@@ -16,6 +16,20 @@
   return std::chrono::duration_cast<Duration>(d * factor);
 }
 
+/// Part of `whole` that the incarnation may use, rounded down.
+std::uint64_t ActivePart(const std::vector<EntryShare>& shares,
+                         const IncarnationId& incarnation,
+                         std::uint64_t whole) {
+  std::uint64_t sum = 0;
+  std::uint64_t own = 0;
+  for (const EntryShare& it : shares) {
+    sum += it.weight;
+    if (it.incarnation == incarnation && it.phase == SharePhase::kActive)
+      own += it.weight;
+  }
+  return sum == 0 ? 0 : own * whole / sum;
+}
+
 }  // namespace
 
 struct MembershipSimulation::Entry {
@@ -393,7 +407,7 @@
              std::to_string(it->second.value());
     }
     const std::uint64_t share =
-        SlotShares::SlotsOf(entry->shares, entry->info.incarnation, kWhole);
+        ActivePart(entry->shares, entry->info.incarnation, kWhole);
     used += share;
     if (share == 0) continue;
     const auto [user, is_first] =
