Name the scenario without a loss for what it is

Cause: a figurative name stood for the scenario from which the loss of a rack or zone has been removed.

Change: it is called without_loss in the model and its test.

Result: measure_test passes; no behaviour changes.

--- a/tools/measure/src/policies.cc
+++ b/tools/measure/src/policies.cc
@@ -177,10 +177,11 @@
 RunResult RunPooled(const Scenario& scenario,
                     const std::vector<Request>& workload, std::uint64_t seed,
                     std::vector<ModelVm> vms) {
-  Scenario calm = scenario;
-  calm.rack_lost_at_s = -1;
-  calm.zone_lost_at_s = -1;
-  Model model(calm, workload, Routing::kEarliestDeadline, std::move(vms), seed);
+  Scenario without_loss = scenario;
+  without_loss.rack_lost_at_s = -1;
+  without_loss.zone_lost_at_s = -1;
+  Model model(without_loss, workload, Routing::kEarliestDeadline,
+              std::move(vms), seed);
   return model.Run();
 }
 
--- a/tools/measure/test/model_test.cc
+++ b/tools/measure/test/model_test.cc
@@ -96,14 +96,14 @@
   const auto workload = MakeWorkload(scenario, 4);
   const RunResult result = RunProduct(scenario, workload, 4);
   CheckEveryRequestIsCounted(result, workload);
-  const RunResult calm = RunClairvoyant(scenario, workload, 4);
+  const RunResult without_loss = RunClairvoyant(scenario, workload, 4);
   // The third of the VMs is out for the loss and a cold start.
   const auto vms = static_cast<double>(DeclaredVms(scenario).size());
   const double out_s =
       scenario.zone_lost_for_s +
       ToSeconds(scenario.declarations.pools.begin()->second.cold_start);
-  CHECK(std::abs(calm.all_vm_s - calm.up_vm_s - vms / 3 * out_s) <=
-        vms / 3 * 2 * 5);
+  CHECK(std::abs(without_loss.all_vm_s - without_loss.up_vm_s -
+                 vms / 3 * out_s) <= vms / 3 * 2 * 5);
   Scenario whole = scenario;
   whole.zone_lost_at_s = -1;
   CHECK(result.up_vm_s < RunProduct(whole, workload, 4).up_vm_s);
