Refuse new jobs at once while the store is known to be away

Cause: an entry tried each job again and again for 1.8 s and answered 504 without a time to come back; the caller's next try at another entry was held until its deadline passed. While connections were reset, each entry also sent its transactions in a loop without a pause.

Change: after a failed transaction the store is asked with a read, with a pause of 100 ms. When a read fails too, jobs that were never sent are refused, new ones at once, and a job whose outcome is unknown is given up after 1.2 s. The first answered read ends that. 504 answers carry Retry-After. Two log lines tell of the store's loss and return.

--- a/libs/dispatch/src/job_order.cc
+++ b/libs/dispatch/src/job_order.cc
@@ -65,7 +65,8 @@
 
 Duration RemainingChain(const ActiveJob& job, Duration seen) {
   Duration longest{};
-  for (const auto& [number, occurrence] : job.occurrences) {
+  for (const auto& entry : job.occurrences) {
+    const OccurrenceState& occurrence = entry.second;
     longest = std::max(longest,
                        Chain(*job.spec, seen, [&occurrence](std::size_t step) {
                          return occurrence.steps[step].is_done();
--- a/libs/jobserver/src/accept_batch.cc
+++ b/libs/jobserver/src/accept_batch.cc
@@ -19,7 +19,19 @@
 constexpr Duration kCommitTimeout = std::chrono::milliseconds(900);
 /// Callers wait 3 s; a request whose outcome is unknown after this time is
 /// given back, so that the caller can ask another entry.
-constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1800);
+constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1200);
+/// A read that takes longer fails: 1.5 times the answer of a slow store.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(450);
+constexpr Duration kProbePause = std::chrono::milliseconds(100);
+
+/// What the latest calls said of the store.
+enum class StoreHealth {
+  kUp,
+  /// A transaction failed; nothing else is known.
+  kDoubtful,
+  /// A read failed as well.
+  kDown,
+};
 
 struct Pending {
   JobId id;
@@ -35,10 +47,12 @@
 
 class AcceptBatch::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(const TransactionClient& client, TimerService& timers)
-      : client_(client), timers_(timers) {}
+  Impl(const TransactionClient& client, TimerService& timers,
+       AcceptBatchHooks hooks)
+      : client_(client), timers_(timers), hooks_(std::move(hooks)) {}
 
   void Add(Pending job) {
+    if (health_ == StoreHealth::kDown) return job.done(AcceptOutcome::kRefused);
     job.since = timers_.Now();
     waiting_.push_back(std::move(job));
     if (!is_busy_) Commit();
@@ -48,7 +62,7 @@
 
  private:
   void Commit() {
-    if (waiting_.empty()) return;
+    if (waiting_.empty() || health_ != StoreHealth::kUp) return;
     is_busy_ = true;
     std::vector<Pending> jobs;
     while (!waiting_.empty() && jobs.size() < kJobsPerTransaction) {
@@ -84,6 +98,7 @@
       const bool is_unknown = result.error() == StoreError::kOutcomeUnknown ||
                               result.error() == StoreError::kBadResponse;
       for (Pending& it : jobs) OnError(it, is_unknown);
+      Doubt();
     } else if (result->is_committed) {
       for (const Pending& it : jobs) it.done(AcceptOutcome::kAccepted);
     } else {
@@ -109,20 +124,78 @@
   void OnError(Pending& job, bool is_unknown) {
     job.may_be_stored |= is_unknown;
     if (!job.may_be_stored) return job.done(AcceptOutcome::kRefused);
-    // A second try finds the key when the first one took effect.
-    if (timers_.Now() - job.since >= kGiveUpAfter || !is_unknown)
+    // Another try finds the key when the first one took effect.
+    if (!is_unknown || timers_.Now() - job.since >= kGiveUpAfter)
       return job.done(AcceptOutcome::kUnknown);
     waiting_.push_front(std::move(job));
   }
 
+  void Doubt() {
+    if (health_ != StoreHealth::kUp) return;
+    health_ = StoreHealth::kDoubtful;
+    if (timers_.Now() >= probed_at_ + kProbePause) return Probe();
+    ProbeLater();
+  }
+
+  void ProbeLater() {
+    timers_.ScheduleAfter(kProbePause, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self != nullptr) self->Probe();
+    });
+  }
+
+  void Probe() {
+    probed_at_ = timers_.Now();
+    client_.read(kFleetWritesKey, kProbeTimeout,
+                 [weak = weak_from_this()](const Result<StoredKey>& key) {
+                   const auto self = weak.lock();
+                   if (self != nullptr) self->OnProbe(key);
+                 });
+  }
+
+  void OnProbe(const Result<StoredKey>& key) {
+    const bool is_up = key || key.error() == StoreError::kNotFound;
+    if (is_up) {
+      if (health_ == StoreHealth::kDown && hooks_.on_store)
+        hooks_.on_store(true);
+      health_ = StoreHealth::kUp;
+      return Commit();
+    }
+    if (health_ != StoreHealth::kDown && hooks_.on_store)
+      hooks_.on_store(false);
+    health_ = StoreHealth::kDown;
+    EndWaiting();
+    ProbeLater();
+  }
+
+  /// Refuses what was never sent, and gives up what is unknown for too long.
+  void EndWaiting() {
+    std::deque<Pending> kept;
+    for (Pending& it : std::exchange(waiting_, {})) {
+      if (!it.may_be_stored) {
+        it.done(AcceptOutcome::kRefused);
+      } else if (timers_.Now() - it.since >= kGiveUpAfter) {
+        it.done(AcceptOutcome::kUnknown);
+      } else {
+        kept.push_back(std::move(it));
+      }
+    }
+    for (Pending& it : waiting_) kept.push_back(std::move(it));
+    waiting_ = std::move(kept);
+  }
+
   const TransactionClient& client_;
   TimerService& timers_;
+  AcceptBatchHooks hooks_;
   std::deque<Pending> waiting_;
+  StoreHealth health_ = StoreHealth::kUp;
+  Instant probed_at_{};
   bool is_busy_ = false;
 };
 
-AcceptBatch::AcceptBatch(const TransactionClient& client, TimerService& timers)
-    : impl_(std::make_shared<Impl>(client, timers)) {}
+AcceptBatch::AcceptBatch(const TransactionClient& client, TimerService& timers,
+                         AcceptBatchHooks hooks)
+    : impl_(std::make_shared<Impl>(client, timers, std::move(hooks))) {}
 AcceptBatch::~AcceptBatch() = default;
 
 void AcceptBatch::Add(const JobId& id, const JobPlace& place,
--- a/libs/jobserver/src/accept_batch.h
+++ b/libs/jobserver/src/accept_batch.h
@@ -21,18 +21,30 @@
   kUnknown,
 };
 
+struct AcceptBatchHooks {
+  /// The store went away, or is back. Optional.
+  std::function<void(bool is_up)> on_store;
+};
+
 /// Stores accepted jobs, as many in one transaction as fit. One transaction
 /// is under way at a time; jobs that arrive meanwhile share the next one.
+///
+/// After a failure the store is asked with a read until it answers. Jobs that
+/// were not sent are refused once such a read fails too, and new ones are then
+/// refused at once. A job whose outcome is unknown is tried again when the
+/// store answers, and given up after a while.
 class AcceptBatch {
  public:
   using Done = std::function<void(AcceptOutcome)>;
 
-  AcceptBatch(const TransactionClient& client, TimerService& timers);
+  AcceptBatch(const TransactionClient& client, TimerService& timers,
+              AcceptBatchHooks hooks = {});
   ~AcceptBatch();
   AcceptBatch(const AcceptBatch&) = delete;
   AcceptBatch& operator=(const AcceptBatch&) = delete;
 
-  /// `done` runs exactly once, later, unless the batch is destroyed.
+  /// `done` runs exactly once, unless the batch is destroyed; at once when the
+  /// store is known to be away.
   void Add(const JobId& id, const JobPlace& place, std::string encoded_job,
            Done done);
   std::size_t waiting() const;
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -52,7 +52,13 @@
         settings_(std::move(settings)),
         incarnation_(std::move(incarnation)),
         hooks_(std::move(hooks)),
-        accepts_(platform_.store, timers_),
+        accepts_(platform_.store, timers_,
+                 {.on_store =
+                      [this](bool is_up) {
+                        Event(
+                            "accept", is_up ? "store-regained" : "store-lost",
+                            {{"waiting", std::to_string(accepts_.waiting())}});
+                      }}),
         coordinator_(platform_, timers_, settings_, incarnation_,
                      {.wall_ms = hooks_.wall_ms,
                       .event =
@@ -200,6 +206,7 @@
                              : std::to_string(config->revision.value());
   }
 
+  /// An error with the time to come back.
   static OutgoingResponse Refusal(int status) {
     return {.status = status, .headers = {{"Retry-After", kRetryAfterSeconds}}};
   }
@@ -242,7 +249,7 @@
                    if (outcome == AcceptOutcome::kRefused)
                      return answer(Refusal(503), "the store refused the job");
                    if (outcome == AcceptOutcome::kUnknown)
-                     return answer({.status = 504}, "the store did not answer");
+                     return answer(Refusal(504), "the store did not answer");
                    answer(Json("{}"), "stored");
                  });
   }
@@ -280,7 +287,7 @@
                                    // A cancellation may be repeated, whatever
                                    // became of it.
                                    if (!result)
-                                     return answer({.status = 504},
+                                     return answer(Refusal(504),
                                                    result.error().message());
                                    answer({.status = 200}, "stored");
                                  });
--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_kv_store.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_kv_store.h
@@ -16,6 +16,8 @@
 struct StoreFaults {
   /// Calls get no answer and have no effect.
   bool is_cut = false;
+  /// Calls end at once without an effect that the caller knows of.
+  bool is_resetting = false;
   /// Calls are refused without effect.
   bool is_turned_away = false;
   /// Writes take effect, but their answers are lost.
--- a/libs/jobtesting/src/fake_kv_store.cc
+++ b/libs/jobtesting/src/fake_kv_store.cc
@@ -49,6 +49,10 @@
     return;
   }
   const Duration half = faults.latency / 2;
+  if (faults.is_resetting) {
+    client.ScheduleAfter(faults.latency, std::move(unanswered));
+    return;
+  }
   if (faults.is_turned_away) {
     client.ScheduleAfter(faults.latency, std::move(refused));
     return;
