Ask the queue's pool for a job's state before the store

Cause: an entry read the store for each job that it had not seen before it could ask the pool's owner for its state.

Change: the owner of the pool to which the queue leads now is asked first; a job that it does not know is looked up as before. An entry remembers where the jobs that it accepted belong.

Ruled out: remembering more states; an entry sees few of the repeats.

--- a/libs/jobserver/src/job_lookup.cc
+++ b/libs/jobserver/src/job_lookup.cc
@@ -83,31 +83,51 @@
               });
 }
 
-void JobLookup::FindPhase(const JobId& job,
+void JobLookup::FindPhase(const JobId& job, const JobPlace& likely,
                           StoreCallback<std::optional<JobPhase>> done) {
-  FindPlace(job, [this, job, done = std::move(done)](
-                     const Result<std::optional<JobPlace>>& place) {
-    if (!place) return done(Unexpected(place.error()));
-    if (!*place) return done(std::optional<JobPhase>());
-    FindPhaseAt(job, **place, done);
-  });
+  if (const auto it = places_.find(job); it != places_.end())
+    return FindPhaseAt(job, it->second, std::move(done));
+  AskOwner(job, likely.pool,
+           [this, job, likely,
+            done = std::move(done)](const std::optional<JobPhase>& known) {
+             if (known) {
+               Remember(job, likely);
+               return done(known);
+             }
+             FindPlace(job, [this, job, likely, done](
+                                const Result<std::optional<JobPlace>>& place) {
+               if (!place) return done(Unexpected(place.error()));
+               if (!*place) return done(std::optional<JobPhase>());
+               if ((*place)->pool == likely.pool)
+                 return ReadPhase(job, **place, done);
+               FindPhaseAt(job, **place, done);
+             });
+           });
 }
 
-void JobLookup::FindPhaseAt(const JobId& job, const JobPlace& place,
-                            StoreCallback<std::optional<JobPhase>> done) {
-  if (const auto phase = local_.phase(place.pool, job)) return done(phase);
-  const auto address = view_.OwnerAddress(place.pool);
-  if (!address) return ReadPhase(job, place, std::move(done));
-  AskPeer(peers_, *address, "/jobs/" + place.pool.value() + "/" + job.value(),
-          [this, job, place, done = std::move(done),
+void JobLookup::AskOwner(const JobId& job, const PoolId& pool,
+                         std::function<void(std::optional<JobPhase>)> done) {
+  if (const auto phase = local_.phase(pool, job)) return done(phase);
+  const auto address = view_.OwnerAddress(pool);
+  if (!address) return done(std::nullopt);
+  AskPeer(peers_, *address, "/jobs/" + pool.value() + "/" + job.value(),
+          [done = std::move(done),
            alive = std::weak_ptr(alive_)](const Result<std::string>& body) {
             if (alive.expired()) return;
-            if (const auto phase = PhaseOf(body.value_or("")))
-              return done(phase);
-            ReadPhase(job, place, done);
+            done(PhaseOf(body.value_or("")));
           });
 }
 
+void JobLookup::FindPhaseAt(const JobId& job, const JobPlace& place,
+                            StoreCallback<std::optional<JobPhase>> done) {
+  AskOwner(job, place.pool,
+           [this, job, place,
+            done = std::move(done)](const std::optional<JobPhase>& phase) {
+             if (phase) return done(phase);
+             ReadPhase(job, place, done);
+           });
+}
+
 void JobLookup::ReadPhase(const JobId& job, const JobPlace& place,
                           StoreCallback<std::optional<JobPhase>> done) {
   store_.read(ProgressKey(place.pool, job), kStoreTimeout,
--- a/libs/jobserver/src/job_lookup.h
+++ b/libs/jobserver/src/job_lookup.h
@@ -35,13 +35,18 @@
   void Remember(const JobId& job, const JobPlace& place);
   /// Nothing when the job does not exist, by a linearizable read.
   void FindPlace(const JobId& job, StoreCallback<std::optional<JobPlace>> done);
-  /// Nothing when the job does not exist.
-  void FindPhase(const JobId& job, StoreCallback<std::optional<JobPhase>> done);
+  /// Nothing when the job does not exist. The owner of the pool of `likely` is
+  /// asked before the store, so that a job's state is known without it.
+  void FindPhase(const JobId& job, const JobPlace& likely,
+                 StoreCallback<std::optional<JobPhase>> done);
   /// An error when no owner answers.
   void FindWaiting(const PoolId& pool, const QueueId& queue,
                    StoreCallback<std::uint32_t> done);
 
  private:
+  /// Nothing when the pool's owner does not answer, or does not know the job.
+  void AskOwner(const JobId& job, const PoolId& pool,
+                std::function<void(std::optional<JobPhase>)> done);
   void FindPhaseAt(const JobId& job, const JobPlace& place,
                    StoreCallback<std::optional<JobPhase>> done);
   void ReadPhase(const JobId& job, const JobPlace& place,
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -245,18 +245,19 @@
     if (!spec || !CheckJob(*spec)) return answer({.status = 400}, "bad job");
     const JobPlace place{asked.queue->pool, asked.queue->id};
     accepts_.Add(asked.job, place, EncodeStoredJob(asked.queue->id, *spec),
-                 [answer](AcceptOutcome outcome) {
+                 [this, answer, place, job = asked.job](AcceptOutcome outcome) {
                    if (outcome == AcceptOutcome::kRefused)
                      return answer(Refusal(503), "the store refused the job");
                    if (outcome == AcceptOutcome::kUnknown)
                      return answer(Refusal(504), "the store did not answer");
+                   lookup_.Remember(job, place);
                    answer(Json("{}"), "stored");
                  });
   }
 
   void State(const FrontRequest& asked, const Answer& answer) {
     lookup_.FindPhase(
-        asked.job,
+        asked.job, {asked.queue->pool, asked.queue->id},
         [this, answer](const Result<std::optional<JobPhase>>& phase) {
           if (!phase) return answer(Refusal(503), phase.error().message());
           if (!*phase) return answer({.status = 410}, "no such job");
--- /dev/null
+++ b/libs/jobserver/test/job_lookup_test.cc
@@ -0,0 +1,102 @@
+#include "job_lookup.h"
+
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "pomelomill/base/asio_timer_service.h"
+#include "pomelomill/store/store_error.h"
+#include "store_keys.h"
+
+namespace pomelomill {
+namespace {
+
+const JobId kJob("00000000000000aa");
+
+/// A lookup in a process that owns pool "p"; the store counts its reads.
+class LookupFixture {
+ public:
+  LookupFixture() : peers(context) {
+    store.read = [this](const std::string& key, Duration,
+                        const StoreCallback<StoredKey>& done) {
+      reads.push_back(key);
+      if (is_store_away) return done(Unexpected(StoreError::kUnavailable));
+      const auto it = values.find(key);
+      if (it == values.end()) return done(Unexpected(StoreError::kNotFound));
+      done(StoredKey{.key = key, .value = it->second, .version = Version(1)});
+    };
+    LocalPools local;
+    local.phase = [this](const PoolId& pool,
+                         const JobId& job) -> std::optional<JobPhase> {
+      if (pool != PoolId("p") || !known.contains(job)) return std::nullopt;
+      return known[job];
+    };
+    lookup.emplace(store, peers, view, local);
+  }
+
+  Result<std::optional<JobPhase>> Find(const std::string& likely_pool) {
+    Result<std::optional<JobPhase>> found = std::optional<JobPhase>();
+    bool is_done = false;
+    lookup->FindPhase(kJob, {PoolId(likely_pool), QueueId("q")},
+                      [&](const Result<std::optional<JobPhase>>& it) {
+                        found = it;
+                        is_done = true;
+                      });
+    REQUIRE(is_done);
+    return found;
+  }
+
+  asio::io_context context;
+  HttpClient peers;
+  ClusterView view;
+  TransactionClient store;
+  bool is_store_away = false;
+  std::map<std::string, std::string> values;
+  std::vector<std::string> reads;
+  std::map<JobId, JobPhase> known;
+  std::optional<JobLookup> lookup;
+};
+
+}  // namespace
+
+TEST_CASE("a job's state comes from the queue's pool, without the store") {
+  // Load pattern: callers ask for the states of running jobs all day, also
+  // while the store is away. Guards against a read of the store for each.
+  LookupFixture it;
+  it.known[kJob] = JobPhase::kComplete;
+  it.is_store_away = true;
+  const auto found = it.Find("p");
+  REQUIRE(found);
+  CHECK(*found == JobPhase::kComplete);
+  CHECK(it.reads.empty());
+}
+
+TEST_CASE("a job that its queue's pool does not know is looked up") {
+  LookupFixture it;
+  SUBCASE("it was accepted for another pool") {
+    it.known[kJob] = JobPhase::kRunning;
+    it.values[JobIdKey(kJob)] = EncodeJobPlace({PoolId("p"), QueueId("q")});
+    const auto found = it.Find("other");
+    REQUIRE(found);
+    CHECK(*found == JobPhase::kRunning);
+  }
+  SUBCASE("its owner has not seen it yet") {
+    it.values[JobIdKey(kJob)] = EncodeJobPlace({PoolId("p"), QueueId("q")});
+    const auto found = it.Find("p");
+    REQUIRE(found);
+    CHECK(*found == JobPhase::kQueued);
+  }
+  SUBCASE("it does not exist") {
+    const auto found = it.Find("p");
+    REQUIRE(found);
+    CHECK(!*found);
+  }
+  SUBCASE("the store is away") {
+    it.is_store_away = true;
+    CHECK(!it.Find("p"));
+  }
+}
+
+}  // namespace pomelomill
