Write a pool's progress at most once in 40 ms

Cause: an owner wrote as soon as the write before was answered, after some milliseconds, so in a peak nearly each end had its own write. Progress was the largest part of the store's calls, and with the number of pools it would grow beyond the 400 writes a second that the store takes.

Ruled out: a longer period; the next step of a job waits for the stored end.

--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+/// Least time between two writes of progress: ends that come close together
+/// share one. Short beside the run times of tasks, of a second and more.
+constexpr Duration kStorePeriod = std::chrono::milliseconds(40);
 constexpr Duration kRetryPause = std::chrono::milliseconds(100);
 constexpr Duration kReleaseLimit = std::chrono::seconds(1);
 /// Pause between checks whether ended jobs can be forgotten.
@@ -462,8 +465,22 @@
 
   void StoreProgress() {
     if (!dispatcher_ || !writer_->is_idle()) return;
+    if (!is_releasing_ && timers_.Now() < store_at_) return StoreLater();
     const ProgressBatch batch = dispatcher_->TakeBatch();
-    if (batch.number != 0) writer_->Write(batch);
+    if (batch.number == 0) return;
+    store_at_ = timers_.Now() + kStorePeriod;
+    writer_->Write(batch);
+  }
+
+  void StoreLater() {
+    if (is_store_due_) return;
+    is_store_due_ = true;
+    timers_.ScheduleAt(store_at_, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self == nullptr || self->is_halted_) return;
+      self->is_store_due_ = false;
+      self->StoreProgress();
+    });
   }
 
   void OnStored(std::uint64_t number) {
@@ -541,6 +558,9 @@
   TimerId plan_timer_ = 0;
   TimerId retry_timer_ = 0;
   TimerId forget_timer_ = 0;
+  /// No batch of progress is begun before.
+  Instant store_at_{};
+  bool is_store_due_ = false;
   bool is_plan_due_ = false;
   bool is_loaded_ = false;
   bool is_releasing_ = false;
