Size pools by the scarcest resource and move VMs by share of the fleet

Change: shares of the fleet (16 moves and 8 in reserve at 49 VMs, as before); VMs on their way count neither way for a wave; a task counts with the larger of its parts of a worker's cores, memory and GPUs.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -116,6 +116,8 @@
   std::uint32_t used_cpu = 0;
 };
 
+/// Cores in thousandths; a task that takes a larger part of a worker's memory
+/// than of its cores counts with as many cores as that part.
 struct DispatchLoad {
   std::uint64_t running_cpu = 0;
   /// Of tasks that are ready and find no place.
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -200,6 +200,18 @@
   return n;
 }
 
+/// The cores, in thousandths, of which a worker of that capacity loses the use
+/// to a task of that size: those that it needs, or more when it takes a larger
+/// part of the memory or of the GPUs.
+std::uint64_t DominantCpu(const TaskSize& size, const TaskSize& capacity) {
+  const auto part_of = [&](std::uint64_t needed, std::uint64_t there) {
+    return there == 0 ? 0 : needed * capacity.cpu_millis / there;
+  };
+  return std::max({std::uint64_t{size.cpu_millis},
+                   part_of(size.memory_mb, capacity.memory_mb),
+                   part_of(size.gpus, capacity.gpus)});
+}
+
 bool Dispatcher::Impl::IsLight(const PoolWorker& worker) const {
   if (worker.used.cpu_millis * options_.light_divisor >
       worker.spec.capacity.cpu_millis)
@@ -214,8 +226,10 @@
 
 DispatchLoad Dispatcher::Impl::load() const {
   DispatchLoad load;
+  TaskSize capacity;
   for (const auto& [id, worker] : workers_.all()) {
-    load.running_cpu += worker.used.cpu_millis;
+    if (worker.is_listed) capacity = worker.spec.capacity;
+    load.running_cpu += DominantCpu(worker.used, worker.spec.capacity);
     if (!worker.is_listed || !worker.has_reported || worker.is_closed ||
         worker.is_silent || !worker.strangers.empty())
       continue;
@@ -233,7 +247,7 @@
         if (step.done + step.placed == step.tasks.size()) continue;
         if (!IsReady(job, occurrence, s)) continue;
         load.waiting_cpu +=
-            std::uint64_t{CountedSize(job.spec->steps[s]).cpu_millis} *
+            DominantCpu(CountedSize(job.spec->steps[s]), capacity) *
             (step.tasks.size() - step.done - step.placed);
       }
     }
--- a/libs/dispatch/test/dispatcher_test.cc
+++ b/libs/dispatch/test/dispatcher_test.cc
@@ -353,4 +353,18 @@
   CHECK(plan.starts[0].key.occurrence == 1);
 }
 
+TEST_CASE("the load counts tasks that need memory rather than cores") {
+  // Guards against a pool that gets no VMs although its tasks wait for memory:
+  // a long-running task then waits for ever.
+  Pool pool(1);
+  StepSpec step = Tasks(6, 500);
+  step.size.memory_mb = 2'000;
+  pool.dispatcher.AddJob(Job("j", {step}), At(0));
+  pool.dispatcher.Plan(At(0), 0);
+  const DispatchLoad load = pool.dispatcher.load();
+  // Two run and four wait; each takes half of a worker's memory.
+  CHECK(load.running_cpu == 4'000);
+  CHECK(load.waiting_cpu == 8'000);
+}
+
 }  // namespace pomelomill
--- a/libs/fleet/include/pomelomill/fleet/pool_sizer.h
+++ b/libs/fleet/include/pomelomill/fleet/pool_sizer.h
@@ -37,13 +37,14 @@
   /// A worker that takes longer to be emptied stays. Below the time after
   /// which a pool's owner stops the tasks of a closed worker.
   Duration close_limit = std::chrono::milliseconds(2000);
-  /// VMs beyond demand and this many are parked in the spare pool after the
-  /// pool had them for this long; a move costs as much as some seconds of a
-  /// VM in a pool.
-  std::uint32_t reserve_vms = 8;
+  /// VMs beyond demand and this share of all VMs are parked in the spare pool
+  /// after the pool had them for this long; a move costs as much as some
+  /// seconds of a VM in a pool.
+  double reserve_share = 0.17;
   Duration park_after = std::chrono::seconds(6);
-  /// Moves under way at a time.
-  std::uint32_t max_moves = 16;
+  /// Share of all VMs that may be on their way at a time: a peak asks for half
+  /// of them within seconds.
+  double max_move_share = 0.34;
 };
 
 struct SizePlan {
@@ -102,6 +103,7 @@
   std::optional<std::uint32_t> Need(const PoolId& pool, double headroom,
                                     Instant now) const;
   std::uint32_t CpuOfVm() const;
+  std::uint32_t ShareOfVms(double share) const;
   bool IsIdle(const FleetVm& vm) const;
   /// A VM that `to` may have; null when there is none.
   const FleetVm* FindDonor(const PoolId& to, Instant now) const;
--- a/libs/fleet/src/pool_sizer.cc
+++ b/libs/fleet/src/pool_sizer.cc
@@ -67,6 +67,10 @@
   return vms_.empty() ? 0 : vms_.begin()->second.cpu_millis;
 }
 
+std::uint32_t PoolSizer::ShareOfVms(double share) const {
+  return static_cast<std::uint32_t>(static_cast<double>(vms_.size()) * share);
+}
+
 std::uint32_t PoolSizer::Have(const PoolId& pool) const {
   std::uint32_t n = 0;
   for (const auto& [id, vm] : vms_) {
@@ -173,7 +177,9 @@
 }
 
 void PoolSizer::PlanGrowth(Instant now, SizePlan& plan) {
-  while (taken_.size() < options_.max_moves) {
+  const std::size_t max_moves =
+      std::max(1U, ShareOfVms(options_.max_move_share));
+  while (taken_.size() < max_moves) {
     const PoolId* neediest = nullptr;
     std::uint32_t deficit = 0;
     for (const PoolId& it : pools_) {
@@ -192,9 +198,10 @@
 
 void PoolSizer::PlanParking(Instant now, SizePlan& plan) {
   if (spare_.empty()) return;
+  const std::uint32_t reserve = ShareOfVms(options_.reserve_share);
   for (const PoolId& pool : pools_) {
     const auto need = Need(pool, options_.headroom, now);
-    const bool has_surplus = need && Have(pool) > *need + options_.reserve_vms;
+    const bool has_surplus = need && Have(pool) > *need + reserve;
     if (!has_surplus) {
       surplus_since_.erase(pool);
       continue;
@@ -202,7 +209,7 @@
     const Instant since = surplus_since_.try_emplace(pool, now).first->second;
     if (now - since < options_.park_after) continue;
     for (const auto& [id, vm] : vms_) {
-      if (Have(pool) <= *need + options_.reserve_vms) break;
+      if (Have(pool) <= *need + reserve) break;
       if (vm.pool != pool || vm.state != FleetVmState::kUp ||
           taken_.contains(id) || blocked_.contains(id) || !IsIdle(vm))
         continue;
--- a/libs/fleet/src/wave_book.cc
+++ b/libs/fleet/src/wave_book.cc
@@ -117,7 +117,8 @@
   std::size_t size = 0;
   std::size_t taken = 0;
   for (const auto& [id, vm] : vms_) {
-    if (vm.pool != pool) continue;
+    // A VM on its way to the pool is neither lost nor of use yet.
+    if (vm.pool != pool || vm.state == FleetVmState::kMoving) continue;
     ++size;
     taken += IsTaken(id) || vm.state != FleetVmState::kUp;
   }
--- a/libs/fleet/test/pool_sizer_test.cc
+++ b/libs/fleet/test/pool_sizer_test.cc
@@ -147,7 +147,8 @@
 TEST_CASE("VMs that nobody needs are parked after a while") {
   Deployment it;
   // Three needed at least, four in reserve: two of nine are too many.
-  it.sizer = PoolSizer({.reserve_vms = 4, .park_after = milliseconds(4'000)});
+  it.sizer =
+      PoolSizer({.reserve_share = 0.23, .park_after = milliseconds(4'000)});
   for (int i = 6; i < 9; ++i) it.Add("a" + std::to_string(i), "a");
   it.Apply();
   it.Load("a", 0, 0, 0);
@@ -164,4 +165,16 @@
   CHECK(it.sizer.Plan(At(0)).moves.empty());
 }
 
+TEST_CASE("moves under way grow with the fleet") {
+  // Load pattern: a peak that asks for half of 349 VMs. Guards against a fixed
+  // number of moves, with which such a peak is over before the VMs arrive.
+  Deployment it;
+  it.vms.clear();
+  for (int i = 0; i < 30; ++i) it.Add("a" + std::to_string(i), "a");
+  for (int i = 0; i < 319; ++i) it.Add("s" + std::to_string(i), "spare");
+  it.Apply();
+  it.Load("a", 30 * kCpu, 150 * kCpu, 0);
+  CHECK(it.sizer.Plan(At(0)).moves.size() >= 100);
+}
+
 }  // namespace pomelomill
--- a/libs/fleet/test/wave_book_test.cc
+++ b/libs/fleet/test/wave_book_test.cc
@@ -97,4 +97,16 @@
   CHECK(book.Plan(At(1)).closes.empty());
 }
 
+TEST_CASE("VMs on their way to a pool do not hold up its wave") {
+  // Load pattern: a peak moves many VMs while a wave is due. Guards against a
+  // wave that stands still because moves count as losses.
+  auto vms = Vms(12, "p");
+  for (std::size_t i = 8; i < vms.size(); ++i)
+    vms[i].state = FleetVmState::kMoving;
+  WaveBook book({.max_pool_share = 0.25});
+  book.SetWave(WaveOf(Vms(8, "p"), 8), {});
+  book.SetVms(vms, {});
+  CHECK(book.Plan(At(0)).closes.size() == 2);
+}
+
 }  // namespace pomelomill
