Measure start delays and run times by queue

Cause: the metrics showed how long a request took, not how long its job waited for a first start or how long its tasks ran, so a late job could be told apart from a slow one in the log only.

Change: the dispatcher reports both times to a hook; the metrics page has a histogram of each by queue.

Ruled out: deriving them from log lines; these are bounded and may be left out. dispatcher_test: one delay for a job, one run time for an end.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -109,15 +109,22 @@
   std::string detail;
 };
 
-/// Demand of one pool, cores in thousandths.
+/// Times that a dispatcher measures.
+enum class DispatchTime {
+  /// From the moment the owner knew of a job to its first start.
+  kStartDelay,
+  /// From the start of a run to the report that it is done.
+  kRun,
+};
+
 /// A worker that runs little, and nothing that lasts.
 struct LightWorker {
   WorkerId id;
   std::uint32_t used_cpu = 0;
 };
 
-/// Cores in thousandths; a task that takes a larger part of a worker's memory
-/// than of its cores counts with as many cores as that part.
+/// Demand of one pool, cores in thousandths; a task that takes a larger part of
+/// a worker's memory than of its cores counts with as many cores as that part.
 struct DispatchLoad {
   std::uint64_t running_cpu = 0;
   /// Of tasks that are ready and find no place.
@@ -134,7 +141,10 @@
  public:
   using NoteHook = std::function<void(const DispatchNote&)>;
 
-  explicit Dispatcher(const DispatcherOptions& options, NoteHook note = {});
+  using TimeHook = std::function<void(DispatchTime, const QueueId&, Duration)>;
+
+  explicit Dispatcher(const DispatcherOptions& options, NoteHook note = {},
+                      TimeHook time = {});
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -255,8 +255,10 @@
   return load;
 }
 
-Dispatcher::Dispatcher(const DispatcherOptions& options, NoteHook note)
-    : impl_(std::make_unique<Impl>(options, std::move(note))) {}
+Dispatcher::Dispatcher(const DispatcherOptions& options, NoteHook note,
+                       TimeHook time)
+    : impl_(std::make_unique<Impl>(options, std::move(note), std::move(time))) {
+}
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::SetQueue(const QueueId& queue, const QueuePolicy& policy) {
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -17,9 +17,10 @@
 /// dispatcher_plan.cc.
 class Dispatcher::Impl {
  public:
-  Impl(const DispatcherOptions& options, NoteHook note)
+  Impl(const DispatcherOptions& options, NoteHook note, TimeHook time)
       : options_(options),
         note_(std::move(note)),
+        time_(std::move(time)),
         next_run_(options.first_run) {}
 
   void SetQueue(const QueueId& queue, const QueuePolicy& policy);
@@ -110,6 +111,7 @@
 
   DispatcherOptions options_;
   NoteHook note_;
+  TimeHook time_;
   std::uint32_t next_run_;
   std::map<QueueId, QueuePolicy> policies_;
   RunTimes run_times_;
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -154,6 +154,8 @@
                              TaskState& task, PoolWorker& worker,
                              std::uint32_t run, Instant now,
                              DispatchPlan& plan) {
+  if (time_ && !job.has_started)
+    time_(DispatchTime::kStartDelay, job.queue, now - job.accepted_at);
   Place(job, key, task, worker, run, RunPhase::kStarting);
   task.started_at = now;
   const TaskSize& used = worker.used;
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -85,8 +85,11 @@
       if (!end.saved.empty()) task->saved = end.saved;
       if (is_current) Unplace(*job, end.key, *task);
       if (end.outcome == RunOutcome::kDone) {
-        if (is_current && task->started_at != Instant{})
+        if (is_current && task->started_at != Instant{}) {
           run_times_.Add(job->queue, now - task->started_at);
+          if (time_)
+            time_(DispatchTime::kRun, job->queue, now - task->started_at);
+        }
         worker.failures_in_row = 0;
         worker.failed_jobs.clear();
         OnDone(*job, end.key, *task, now, wall_ms);
--- a/libs/dispatch/test/dispatcher_test.cc
+++ b/libs/dispatch/test/dispatcher_test.cc
@@ -367,4 +367,34 @@
   CHECK(load.waiting_cpu == 8'000);
 }
 
+TEST_CASE("start delays and run times are measured once each") {
+  std::vector<std::pair<DispatchTime, Duration>> times;
+  Dispatcher dispatcher(
+      {}, {}, [&](DispatchTime kind, const QueueId& queue, Duration took) {
+        CHECK(queue == QueueId("q"));
+        times.emplace_back(kind, took);
+      });
+  dispatcher.SetQueue(QueueId("q"), {.max_attempts = 2});
+  dispatcher.ListWorkers({{.id = WorkerId("w"), .capacity = kCapacity}});
+  dispatcher.OnReport(WorkerId("w"), {.clock_ms = 1, .born_ms = 1}, At(0), 0);
+  dispatcher.AddJob(Job("j", {Tasks(2)}), At(100));
+  const auto starts = dispatcher.Plan(At(350), 0).starts;
+  REQUIRE(starts.size() == 2);
+  // One for the job, not one for each task.
+  REQUIRE(times.size() == 1);
+  CHECK(times[0] ==
+        std::pair(DispatchTime::kStartDelay, Duration(milliseconds(250))));
+  dispatcher.OnStart(WorkerId("w"), starts[0].key, starts[0].run,
+                     StartOutcome::kStarted, 2, At(360));
+  WorkerReport report{.clock_ms = 3, .born_ms = 1};
+  report.ended.push_back({.number = 1,
+                          .key = starts[0].key,
+                          .run = starts[0].run,
+                          .outcome = RunOutcome::kDone});
+  report.running.push_back({.key = starts[1].key, .run = starts[1].run});
+  dispatcher.OnReport(WorkerId("w"), report, At(950), 0);
+  REQUIRE(times.size() == 2);
+  CHECK(times[1] == std::pair(DispatchTime::kRun, Duration(milliseconds(600))));
+}
+
 }  // namespace pomelomill
--- a/libs/jobserver/include/pomelomill/jobserver/coordinator.h
+++ b/libs/jobserver/include/pomelomill/jobserver/coordinator.h
@@ -21,6 +21,8 @@
   /// Unix time in milliseconds, for jobs that are due at a time.
   std::function<std::int64_t()> wall_ms;
   EventHook event;
+  /// Times of jobs and runs, for the metrics; optional.
+  std::function<void(DispatchTime, const QueueId&, Duration)> time;
   /// Asks another entry at "HOST:PORT" and returns the body of its answer;
   /// nothing is asked when it is not set.
   std::function<void(const std::string& address, const std::string& path,
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -185,7 +185,8 @@
                                                 : held + settings_.order_grace;
                 },
             .wall_ms = hooks_.wall_ms,
-            .event = hooks_.event});
+            .event = hooks_.event,
+            .time = hooks_.time});
     owner->Start(*fleet_);
     owner->OnWorkers(WorkersOf(pool));
     pools_[pool] = std::move(owner);
--- a/libs/jobserver/src/job_metrics.cc
+++ b/libs/jobserver/src/job_metrics.cc
@@ -58,6 +58,19 @@
       .Observe(ToSeconds(took));
 }
 
+void JobMetrics::ObserveJobTime(DispatchTime kind, const QueueId& queue,
+                                Duration took) {
+  const bool is_delay = kind == DispatchTime::kStartDelay;
+  registry_
+      .histogram(is_delay ? "pomelomill_job_start_delay_seconds"
+                          : "pomelomill_job_run_seconds",
+                 is_delay ? "Time from a job's arrival at its owner to its "
+                            "first start."
+                          : "Time from the start of a run to its end as done.",
+                 {{"queue", queue.value()}})
+      .Observe(ToSeconds(took));
+}
+
 void JobMetrics::SetOwnedPools(std::size_t pools) {
   registry_.gauge("pomelomill_owned_pools", "Pools that this entry owns.")
       .Set(static_cast<double>(pools));
--- a/libs/jobserver/src/job_metrics.h
+++ b/libs/jobserver/src/job_metrics.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "pomelomill/base/timer_service.h"
+#include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/metrics/metric_registry.h"
 #include "pomelomill/store/transaction_client.h"
 
@@ -18,6 +19,7 @@
                       int status, Duration took);
   void ObserveStoreCall(const std::string& kind, const std::string& result,
                         Duration took);
+  void ObserveJobTime(DispatchTime kind, const QueueId& queue, Duration took);
   void SetOwnedPools(std::size_t pools);
 
   /// Prometheus text exposition format, version 0.0.4.
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -66,6 +66,11 @@
                                  std::vector<EventField> fields) {
                             Event(part, event, std::move(fields));
                           },
+                      .time =
+                          [this](DispatchTime kind, const QueueId& queue,
+                                 Duration took) {
+                            metrics_.ObserveJobTime(kind, queue, took);
+                          },
                       .ask_peer =
                           [&http](const std::string& address,
                                   const std::string& path, auto done) {
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -183,8 +183,8 @@
   void FollowJobs() {
     DispatcherOptions options;
     options.first_run = roster_->earlier().owners * kRunsOfOwner + 1;
-    dispatcher_.emplace(options,
-                        [this](const DispatchNote& it) { OnNote(it); });
+    dispatcher_.emplace(
+        options, [this](const DispatchNote& it) { OnNote(it); }, hooks_.time);
     ApplyConfig();
     std::vector<WorkerId> expected;
     for (const auto& [id, address] : roster_->earlier().workers)
--- a/libs/jobserver/src/pool_owner.h
+++ b/libs/jobserver/src/pool_owner.h
@@ -24,6 +24,7 @@
   std::function<Instant()> order_limit;
   std::function<std::int64_t()> wall_ms;
   EventHook event;
+  Dispatcher::TimeHook time;
 };
 
 /// Runs the jobs of one pool under one fencing token: loads them, keeps links
