Refuse jobs over the configured size with 413

Cause: the operator's limit on bodies was read and had no effect; 512 KiB was the limit for all. Bodies over the limit in force are refused now; 512 KiB stays the most that is read at all.

Ruled out: setting the listener's limit; it is fixed when it starts, and the configuration changes. job_server_test: 1,000 bytes allowed and 1,001 refused.

--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -20,6 +20,8 @@
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(900);
 /// The store's clients are told to come back after an outage's usual step.
 constexpr const char* kRetryAfterSeconds = "1";
+/// Read at most, whatever the configuration in force allows.
+constexpr std::size_t kMostBodyBytes = std::size_t{512} << 10;
 /// An entry that has not heard from the store for this long takes itself out
 /// of the balancer, since others may serve.
 constexpr Duration kReadyContact = std::chrono::seconds(4);
@@ -146,7 +148,7 @@
     HttpListenerOptions options;
     options.address = Host(address);
     options.port = Port(address);
-    options.max_body_bytes = std::size_t{512} << 10;
+    options.max_body_bytes = kMostBodyBytes;
     options.message_timeout = std::chrono::seconds(15);
     return std::make_unique<HttpListener>(
         context_, options, HttpListenerHooks{.on_request = handler});
@@ -246,6 +248,8 @@
 
   void Submit(const FrontRequest& asked, const IncomingRequest& request,
               const Answer& answer) {
+    if (request.body.size() > coordinator_.config()->max_body_bytes)
+      return answer({.status = 413}, "the body is larger than allowed");
     const auto spec = platform_.decode_job(request.body);
     if (!spec || !CheckJob(*spec)) return answer({.status = 400}, "bad job");
     const JobPlace place{asked.queue->pool, asked.queue->id};
--- a/libs/jobserver/test/job_server_test.cc
+++ b/libs/jobserver/test/job_server_test.cc
@@ -59,7 +59,7 @@
     hooks_.config_key = "config";
     hooks_.worker_prefix = "workers/";
     hooks_.decode_config = [](const std::string&) -> Result<FleetConfig> {
-      FleetConfig config{.revision = Revision(7)};
+      FleetConfig config{.revision = Revision(7), .max_body_bytes = 1'000};
       config.queues.push_back({.id = QueueId("q"),
                                .host = "shop.example",
                                .prefix = "/quotes/",
@@ -186,6 +186,8 @@
   const std::string path = std::string("/quotes/") + kJob;
   CHECK(server.Ask("POST", path, "good").status == 200);
   CHECK(server.Ask("POST", path, "bad").status == 400);
+  CHECK(server.Ask("POST", path, std::string(1'000, 'x')).status == 400);
+  CHECK(server.Ask("POST", path, std::string(1'001, 'x')).status == 413);
   CHECK(server.Ask("POST", "/quotes/short", "good").status == 400);
   CHECK(server.Ask("PUT", path, "good").status == 405);
   CHECK(server.Ask("POST", "/other/x", "good").status == 404);
