Let a wave wait for moves while it is on time

Change: they count again, unless the wave is behind six tenths of its time.

A wave that stands still because of moves is tested at both ends of its time.

--- a/libs/fleet/include/pomelomill/fleet/wave_book.h
+++ b/libs/fleet/include/pomelomill/fleet/wave_book.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,9 @@
   /// Share of a pool's VMs that may be closed or down for maintenance at a
   /// time; at least one VM. More would make the pool's queues wait.
   double max_pool_share = 0.25;
+  /// Part of a wave's duration after which it should be done; a wave that is
+  /// behind that takes VMs also while many move between pools.
+  double planned_part = 0.6;
   /// A call that was refused is repeated after this time.
   Duration retry_after = std::chrono::milliseconds(400);
 };
@@ -97,17 +101,21 @@
   struct Wave {
     MaintenanceWave wave;
     std::map<VmId, Entry> vms;
+    /// When it was first planned.
+    std::optional<Instant> began;
     bool is_complete = false;
   };
 
   const FleetVm* FindVm(const VmId& vm) const;
   void Advance(Wave& wave);
   std::uint32_t CountDown(const Wave& wave) const;
-  void PlanCloses(Wave& wave, FleetPlan& plan);
+  void PlanCloses(Wave& wave, Instant now, FleetPlan& plan);
+  bool IsBehind(const Wave& wave, Instant now) const;
   void PlanMaintains(Wave& wave, Instant now, FleetPlan& plan);
   bool IsTaken(const VmId& vm) const;
   void Reopen(const WaveId& wave, const VmId& vm);
-  bool PoolMayLoseOne(const PoolId& pool) const;
+  /// VMs on their way to the pool count as lost unless `is_behind`.
+  bool PoolMayLoseOne(const PoolId& pool, bool is_behind) const;
 
   WaveBookOptions options_;
   std::map<WaveId, Wave> waves_;
--- a/libs/fleet/src/wave_book.cc
+++ b/libs/fleet/src/wave_book.cc
@@ -112,13 +112,25 @@
   });
 }
 
-bool WaveBook::PoolMayLoseOne(const PoolId& pool) const {
+bool WaveBook::IsBehind(const Wave& wave, Instant now) const {
+  const Duration planned = std::chrono::duration_cast<Duration>(
+      wave.wave.duration * options_.planned_part);
+  const auto done = static_cast<double>(std::count_if(
+      wave.vms.begin(), wave.vms.end(),
+      [](const auto& it) { return it.second.stage != Stage::kPending; }));
+  const Duration passed = now - wave.began.value_or(now);
+  return done * static_cast<double>(planned.count()) <=
+         static_cast<double>(wave.vms.size()) *
+             static_cast<double>(passed.count());
+}
+
+bool WaveBook::PoolMayLoseOne(const PoolId& pool, bool is_behind) const {
   if (spare_.contains(pool)) return true;
   std::size_t size = 0;
   std::size_t taken = 0;
   for (const auto& [id, vm] : vms_) {
-    // A VM on its way to the pool is neither lost nor of use yet.
-    if (vm.pool != pool || vm.state == FleetVmState::kMoving) continue;
+    const bool is_left_out = is_behind && vm.state == FleetVmState::kMoving;
+    if (vm.pool != pool || is_left_out) continue;
     ++size;
     taken += IsTaken(id) || vm.state != FleetVmState::kUp;
   }
@@ -127,7 +139,8 @@
   return taken < std::max<std::size_t>(1, limit);
 }
 
-void WaveBook::PlanCloses(Wave& wave, FleetPlan& plan) {
+void WaveBook::PlanCloses(Wave& wave, Instant now, FleetPlan& plan) {
+  const bool is_behind = IsBehind(wave, now);
   // While some are down, the next are emptied.
   const std::uint32_t limit = 2 * wave.wave.max_down;
   std::uint32_t under_way = 0;
@@ -140,7 +153,7 @@
     const FleetVm* const vm = FindVm(id);
     if (entry.stage != Stage::kPending || vm == nullptr ||
         vm->state != FleetVmState::kUp || IsTaken(id) ||
-        !PoolMayLoseOne(vm->pool))
+        !PoolMayLoseOne(vm->pool, is_behind))
       continue;
     entry.stage = Stage::kClosing;
     entry.worker = vm->worker;
@@ -174,7 +187,8 @@
   if (vms_.empty()) return plan;
   for (auto& [id, wave] : waves_) {
     if (wave.is_complete) continue;
-    PlanCloses(wave, plan);
+    if (!wave.began) wave.began = now;
+    PlanCloses(wave, now, plan);
     PlanMaintains(wave, now, plan);
     const bool is_complete =
         std::all_of(wave.vms.begin(), wave.vms.end(), [&](const auto& it) {
--- a/libs/fleet/test/wave_book_test.cc
+++ b/libs/fleet/test/wave_book_test.cc
@@ -104,9 +104,21 @@
   for (std::size_t i = 8; i < vms.size(); ++i)
     vms[i].state = FleetVmState::kMoving;
   WaveBook book({.max_pool_share = 0.25});
-  book.SetWave(WaveOf(Vms(8, "p"), 8), {});
-  book.SetVms(vms, {});
-  CHECK(book.Plan(At(0)).closes.size() == 2);
+  auto wave = WaveOf(Vms(8, "p"), 8);
+  SUBCASE("behind its plan it goes on") {
+    book.SetWave(wave, {});
+    book.SetVms(vms, {});
+    CHECK(book.Plan(At(0)).closes.size() == 2);
+  }
+  SUBCASE("with time left it waits") {
+    wave.duration = std::chrono::seconds(30);
+    book.SetWave(wave, {});
+    book.SetVms(vms, {});
+    // The first VM is due at once.
+    const auto first = book.Plan(At(0)).closes;
+    CHECK(book.Plan(At(1'000)).closes.empty());
+    CHECK(book.Plan(At(9'000)).closes.size() + first.size() == 2);
+  }
 }
 
 }  // namespace pomelomill
