--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -6,6 +6,21 @@
 #include "dispatcher_impl.h"
 
 namespace pomelomill {
+namespace {
+
+/// The cores, in thousandths, of which a worker of that capacity loses the use
+/// to a task of that size: those that it needs, or more when it takes a larger
+/// part of the memory or of the GPUs.
+std::uint64_t DominantCpu(const TaskSize& size, const TaskSize& capacity) {
+  const auto part_of = [&](std::uint64_t needed, std::uint64_t there) {
+    return there == 0 ? 0 : needed * capacity.cpu_millis / there;
+  };
+  return std::max({std::uint64_t{size.cpu_millis},
+                   part_of(size.memory_mb, capacity.memory_mb),
+                   part_of(size.gpus, capacity.gpus)});
+}
+
+}  // namespace
 
 void Dispatcher::Impl::SetQueue(const QueueId& queue,
                                 const QueuePolicy& policy) {
@@ -200,18 +215,6 @@
   return n;
 }
 
-/// The cores, in thousandths, of which a worker of that capacity loses the use
-/// to a task of that size: those that it needs, or more when it takes a larger
-/// part of the memory or of the GPUs.
-std::uint64_t DominantCpu(const TaskSize& size, const TaskSize& capacity) {
-  const auto part_of = [&](std::uint64_t needed, std::uint64_t there) {
-    return there == 0 ? 0 : needed * capacity.cpu_millis / there;
-  };
-  return std::max({std::uint64_t{size.cpu_millis},
-                   part_of(size.memory_mb, capacity.memory_mb),
-                   part_of(size.gpus, capacity.gpus)});
-}
-
 bool Dispatcher::Impl::IsLight(const PoolWorker& worker) const {
   if (worker.used.cpu_millis * options_.light_divisor >
       worker.spec.capacity.cpu_millis)
--- a/libs/jobserver/src/job_lookup.cc
+++ b/libs/jobserver/src/job_lookup.cc
@@ -17,9 +17,9 @@
 /// not hold the caller.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(400);
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(250);
-/// Some hundred bytes each: about 2 MB.
-/// The longest answer names all idle workers of a pool.
+/// The longest answer names all idle and light workers of a pool.
 constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 10;
+/// Some hundred bytes each: about 2 MB.
 constexpr std::size_t kMaxRemembered = 8'192;
 
 HttpRequest PeerRequest(const std::string& address, const std::string& path) {
