--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -44,7 +44,8 @@
   /// Tasks on a closed worker may finish for this long before they are
   /// stopped. Most tasks take a second or two.
   Duration evacuation_patience = std::chrono::milliseconds(2200);
-  /// A worker is light when it runs no more than this part of its cores.
+  /// A worker is light when it runs no more than one part in this many of its
+  /// cores: few enough tasks to end within the patience above.
   std::uint32_t light_divisor = 2;
   /// Failed runs in a row, of at least two jobs, after which a worker gets no
   /// tasks for a while.
--- a/libs/fleet/include/pomelomill/fleet/pool_sizer.h
+++ b/libs/fleet/include/pomelomill/fleet/pool_sizer.h
@@ -28,7 +28,8 @@
 struct PoolSizerOptions {
   /// Cores wanted for each core of demand: places are never packed in full.
   double headroom = 1.25;
-  /// The same for a pool that gives VMs to one in need.
+  /// The same for a pool that gives VMs to one in need: about what a full VM
+  /// of 32 cores leaves unused between tasks of four cores.
   double giving_headroom = 1.1;
   /// A pool keeps this many VMs, whatever its demand.
   std::uint32_t min_vms = 3;
--- a/libs/fleet/include/pomelomill/fleet/wave_book.h
+++ b/libs/fleet/include/pomelomill/fleet/wave_book.h
@@ -16,8 +16,9 @@
   /// Share of a pool's VMs that may be closed or down for maintenance at a
   /// time; at least one VM. More would make the pool's queues wait.
   double max_pool_share = 0.25;
-  /// Part of a wave's duration after which it should be done; a wave that is
-  /// behind that takes VMs also while many move between pools.
+  /// Part of a wave's duration after which it should be done, the rest being
+  /// for VMs that come back late; a wave that is behind that takes VMs also
+  /// while many move between pools.
   double planned_part = 0.6;
   /// A call that was refused is repeated after this time.
   Duration retry_after = std::chrono::milliseconds(400);
