Log a process's own delay and its slow decisions

The logs could not tell an overloaded owner from silent workers and a slow store, nor name what held the process up. New lines: process delayed, process slow-decision, owner worker-backlog; new histograms pomelomill_loop_delay_seconds and pomelomill_decision_seconds. No decision changes.

--- a/libs/jobserver/include/pomelomill/jobserver/coordinator.h
+++ b/libs/jobserver/include/pomelomill/jobserver/coordinator.h
@@ -10,6 +10,7 @@
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/config/job_service_settings.h"
+#include "pomelomill/jobserver/decision_hook.h"
 #include "pomelomill/jobserver/fleet_config.h"
 #include "pomelomill/jobserver/platform_hooks.h"
 
@@ -23,6 +24,8 @@
   EventHook event;
   /// Times of jobs and runs, for the metrics; optional.
   std::function<void(DispatchTime, const QueueId&, Duration)> time;
+  /// A decision was taken on so many items and took so long; optional.
+  DecisionHook decided;
   /// Asks another entry at "HOST:PORT" and returns the body of its answer;
   /// nothing is asked when it is not set.
   std::function<void(const std::string& address, const std::string& path,
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -186,7 +186,8 @@
                 },
             .wall_ms = hooks_.wall_ms,
             .event = hooks_.event,
-            .time = hooks_.time});
+            .time = hooks_.time,
+            .decided = hooks_.decided});
     owner->Start(*fleet_);
     owner->OnWorkers(WorkersOf(pool));
     pools_[pool] = std::move(owner);
@@ -214,7 +215,8 @@
             .call_limit = [this, lease] { return HeldUntil(lease); },
             .load = [this](const PoolId& pool,
                            auto done) { FindLoad(pool, done); },
-            .event = hooks_.event});
+            .event = hooks_.event,
+            .decided = hooks_.decided});
     fleet_manager_->Start(*fleet_);
   }
 
--- a/libs/jobserver/src/fleet_manager.cc
+++ b/libs/jobserver/src/fleet_manager.cc
@@ -279,8 +279,10 @@
 
   void PlanSizes() {
     if (!MayCall()) return;
+    const Instant began = timers_.Now();
     ApplyVms();
-    const SizePlan plan = sizer_.Plan(timers_.Now());
+    const SizePlan plan = sizer_.Plan(began);
+    NoteDecision("size-pools", began);
     for (const auto& it : plan.closes) Close({it.pool, it.worker, {}});
     for (const auto& it : plan.reopens) Reopen({it.pool, it.worker, {}});
     for (const auto& it : plan.moves) Move(it);
@@ -302,11 +304,18 @@
             }));
   }
 
+  void NoteDecision(std::string_view decision, Instant began) {
+    if (hooks_.decided)
+      hooks_.decided(decision, vms_.size(), timers_.Now() - began);
+  }
+
   bool MayCall() const { return timers_.Now() < hooks_.call_limit(); }
 
   void Plan() {
     if (!MayCall()) return;
-    const FleetPlan plan = book_.Plan(timers_.Now());
+    const Instant began = timers_.Now();
+    const FleetPlan plan = book_.Plan(began);
+    NoteDecision("maintain", began);
     for (const FleetPlan::Close& it : plan.closes) Close(it);
     for (const FleetPlan::Close& it : plan.reopens) Reopen(it);
     for (const FleetPlan::Maintain& it : plan.maintains) Maintain(it);
--- a/libs/jobserver/src/fleet_manager.h
+++ b/libs/jobserver/src/fleet_manager.h
@@ -6,6 +6,7 @@
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/config/job_service_settings.h"
+#include "pomelomill/jobserver/decision_hook.h"
 #include "pomelomill/jobserver/platform_hooks.h"
 
 namespace pomelomill {
@@ -19,6 +20,8 @@
   std::function<void(const PoolId&, std::function<void(Result<DispatchLoad>)>)>
       load;
   EventHook event;
+  /// A decision was taken on so many items and took so long; optional.
+  DecisionHook decided;
 };
 
 /// Carries out maintenance waves under one fencing token: reads them and the
--- a/libs/jobserver/src/job_metrics.cc
+++ b/libs/jobserver/src/job_metrics.cc
@@ -71,6 +71,20 @@
       .Observe(ToSeconds(took));
 }
 
+void JobMetrics::ObserveLoopDelay(Duration delay) {
+  registry_
+      .histogram("pomelomill_loop_delay_seconds",
+                 "How late timers of this process ran.", {})
+      .Observe(ToSeconds(delay));
+}
+
+void JobMetrics::ObserveDecision(std::string_view decision, Duration took) {
+  registry_
+      .histogram("pomelomill_decision_seconds", "Time that a decision took.",
+                 {{"decision", std::string(decision)}})
+      .Observe(ToSeconds(took));
+}
+
 void JobMetrics::SetOwnedPools(std::size_t pools) {
   registry_.gauge("pomelomill_owned_pools", "Pools that this entry owns.")
       .Set(static_cast<double>(pools));
--- a/libs/jobserver/src/job_metrics.h
+++ b/libs/jobserver/src/job_metrics.h
@@ -20,6 +20,9 @@
   void ObserveStoreCall(const std::string& kind, const std::string& result,
                         Duration took);
   void ObserveJobTime(DispatchTime kind, const QueueId& queue, Duration took);
+  /// How late a timer of this process ran.
+  void ObserveLoopDelay(Duration delay);
+  void ObserveDecision(std::string_view decision, Duration took);
   void SetOwnedPools(std::size_t pools);
 
   /// Prometheus text exposition format, version 0.0.4.
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -7,6 +7,7 @@
 #include "accept_batch.h"
 #include "job_lookup.h"
 #include "job_metrics.h"
+#include "loop_monitor.h"
 #include "pomelomill/http/http_client.h"
 #include "pomelomill/http/http_listener.h"
 #include "pomelomill/jobserver/coordinator.h"
@@ -27,6 +28,9 @@
 constexpr Duration kReadyContact = std::chrono::seconds(4);
 /// Left of the stop grace when the process ends.
 constexpr Duration kStopMargin = std::chrono::milliseconds(800);
+/// A decision that holds up everything else for this long is logged: a tenth of
+/// the time within which the store's answers are awaited.
+constexpr Duration kSlowDecision = std::chrono::milliseconds(90);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /// Callers use open connections until these end; this long without a request
 /// counts as idle.
@@ -61,24 +65,36 @@
                             "accept", is_up ? "store-regained" : "store-lost",
                             {{"waiting", std::to_string(accepts_.waiting())}});
                       }}),
-        coordinator_(platform_, timers_, settings_, incarnation_,
-                     {.wall_ms = hooks_.wall_ms,
-                      .event =
-                          [this](std::string_view part, std::string_view event,
-                                 std::vector<EventField> fields) {
-                            Event(part, event, std::move(fields));
-                          },
-                      .time =
-                          [this](DispatchTime kind, const QueueId& queue,
-                                 Duration took) {
-                            metrics_.ObserveJobTime(kind, queue, took);
-                          },
-                      .ask_peer =
-                          [&http](const std::string& address,
-                                  const std::string& path, auto done) {
-                            AskPeer(http, address, path, std::move(done));
-                          }}),
-        lookup_(platform_.store, http, coordinator_.view(), Local()) {}
+        coordinator_(
+            platform_, timers_, settings_, incarnation_,
+            {.wall_ms = hooks_.wall_ms,
+             .event =
+                 [this](std::string_view part, std::string_view event,
+                        std::vector<EventField> fields) {
+                   Event(part, event, std::move(fields));
+                 },
+             .time =
+                 [this](DispatchTime kind, const QueueId& queue,
+                        Duration took) {
+                   metrics_.ObserveJobTime(kind, queue, took);
+                 },
+             .decided =
+                 [this](std::string_view decision, std::size_t items,
+                        Duration took) { OnDecision(decision, items, took); },
+             .ask_peer =
+                 [&http](const std::string& address, const std::string& path,
+                         auto done) {
+                   AskPeer(http, address, path, std::move(done));
+                 }}),
+        lookup_(platform_.store, http, coordinator_.view(), Local()),
+        monitor_(timers_,
+                 {.on_sample =
+                      [this](Duration it) { metrics_.ObserveLoopDelay(it); },
+                  .event =
+                      [this](std::string_view part, std::string_view event,
+                             std::vector<EventField> fields) {
+                        Event(part, event, std::move(fields));
+                      }}) {}
 
   Status Start() {
     front_ = MakeListener(settings_.caller_address,
@@ -111,6 +127,7 @@
            {"incarnation", incarnation_.value()},
            {"callers", settings_.caller_address}});
     coordinator_.Start();
+    monitor_.Start();
     return {};
   }
 
@@ -142,6 +159,15 @@
     if (hooks_.event) hooks_.event(part, event, std::move(fields));
   }
 
+  void OnDecision(std::string_view decision, std::size_t items, Duration took) {
+    metrics_.ObserveDecision(decision, took);
+    if (took < kSlowDecision) return;
+    Event("process", "slow-decision",
+          {{"decision", std::string(decision)},
+           {"items", std::to_string(items)},
+           {"ms", std::to_string(ToMillis(took))}});
+  }
+
   template <typename Handler>
   std::unique_ptr<HttpListener> MakeListener(const std::string& address,
                                              Handler handler) {
@@ -329,6 +355,7 @@
   AcceptBatch accepts_;
   Coordinator coordinator_;
   JobLookup lookup_;
+  LoopMonitor monitor_;
   std::unique_ptr<HttpListener> front_;
   std::unique_ptr<HttpListener> ready_;
   std::unique_ptr<HttpListener> peers_;
--- /dev/null
+++ b/libs/jobserver/src/loop_monitor.cc
@@ -0,0 +1,67 @@
+#include "loop_monitor.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace pomelomill {
+namespace {
+
+constexpr Duration kSamplePeriod = std::chrono::milliseconds(100);
+/// Callers and workers answer within some milliseconds; a process that is this
+/// late is overloaded or was stopped.
+constexpr Duration kLongDelay = std::chrono::milliseconds(250);
+constexpr Duration kLogPeriod = std::chrono::seconds(1);
+
+}  // namespace
+
+class LoopMonitor::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(TimerService& timers, LoopMonitorHooks hooks)
+      : timers_(timers), hooks_(std::move(hooks)) {}
+
+  void Start() {
+    const Instant due = timers_.Now() + kSamplePeriod;
+    timer_ = timers_.ScheduleAt(due, [weak = weak_from_this(), due] {
+      const auto self = weak.lock();
+      if (self != nullptr) self->OnSample(due);
+    });
+  }
+
+  void Halt() {
+    hooks_ = {};
+    timers_.Cancel(timer_);
+  }
+
+ private:
+  void OnSample(Instant due) {
+    const Instant now = timers_.Now();
+    const Duration delay = now - due;
+    if (hooks_.on_sample) hooks_.on_sample(delay);
+    worst_ = std::max(worst_, delay);
+    if (worst_ >= kLongDelay && now - logged_at_ >= kLogPeriod) {
+      logged_at_ = now;
+      if (hooks_.event)
+        hooks_.event("process", "delayed",
+                     {{"ms", std::to_string(ToMillis(worst_))}});
+      worst_ = Duration(0);
+    }
+    Start();
+  }
+
+  TimerService& timers_;
+  LoopMonitorHooks hooks_;
+  TimerId timer_ = 0;
+  /// Since the last line of the log.
+  Duration worst_{};
+  Instant logged_at_{};
+};
+
+LoopMonitor::LoopMonitor(TimerService& timers, LoopMonitorHooks hooks)
+    : impl_(std::make_shared<Impl>(timers, std::move(hooks))) {}
+
+LoopMonitor::~LoopMonitor() { impl_->Halt(); }
+
+void LoopMonitor::Start() { impl_->Start(); }
+
+}  // namespace pomelomill
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "evacuations.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/jobserver/worker_link.h"
 #include "pomelomill/store/prefix_follower.h"
@@ -29,17 +30,14 @@
 /// task that is started this often under one owner fails long before.
 constexpr std::uint32_t kRunsOfOwner = 100'000;
 
+/// Ends in one report that show that acknowledgements do not keep up: a worker
+/// ends some ten tasks a second.
+constexpr std::size_t kLongBacklog = 50;
+
 EventField Field(std::string_view name, std::string value) {
   return {name, std::move(value)};
 }
 
-/// The fleet's owner asked for a worker to be emptied.
-struct Evacuation {
-  std::string request;
-  /// Whether it was stored that the worker is empty.
-  bool is_reported = false;
-};
-
 }  // namespace
 
 class PoolOwner::Impl : public std::enable_shared_from_this<Impl> {
@@ -75,6 +73,17 @@
                 [this](std::error_code ec) {
                   Event("progress-retry", {Field("error", ec.message())});
                 }});
+    evacuations_.emplace(
+        platform_.store, pool_, token_,
+        EvacuationsHooks{
+            .is_empty = [this](const WorkerId& it) { return IsEmpty(it); },
+            .on_retry = [this] { PlanAt(timers_.Now() + kRetryPause); },
+            .on_answer =
+                [this](const WorkerId& worker, bool is_stored) {
+                  Event("worker-emptied",
+                        {Field("worker", worker.value()),
+                         Field("stored", is_stored ? "yes" : "no")});
+                }});
     roster_->Load();
   }
 
@@ -85,6 +94,7 @@
     follower_.reset();
     writer_.reset();
     roster_.reset();
+    evacuations_.reset();
     for (const TimerId it : {plan_timer_, retry_timer_, forget_timer_})
       timers_.Cancel(it);
   }
@@ -224,10 +234,10 @@
     if (change.key.starts_with(evacuations)) {
       const WorkerId worker(change.key.substr(evacuations.size()));
       if (change.is_removed) {
-        evacuating_.erase(worker);
+        evacuations_->Remove(worker);
         dispatcher_->ReopenWorker(worker);
       } else {
-        evacuating_[worker] = {.request = change.value};
+        evacuations_->Add(worker, change.value);
         dispatcher_->CloseWorker(worker, timers_.Now());
       }
       return PlanSoon();
@@ -317,6 +327,7 @@
     return {.on_report =
                 [this, id](const WorkerReport& report) {
                   gone_.erase(id);
+                  NoteBacklog(id, report.ended.size());
                   dispatcher_->OnReport(id, report, timers_.Now(),
                                         hooks_.wall_ms());
                   PlanSoon();
@@ -342,6 +353,16 @@
             .may_order = [this] { return MayOrder(); }};
   }
 
+  /// A worker repeats the ends that it was not told to forget.
+  void NoteBacklog(const WorkerId& id, std::size_t ends) {
+    if (ends < kLongBacklog) {
+      backlogged_.erase(id);
+    } else if (backlogged_.insert(id).second) {
+      Event("worker-backlog",
+            {Field("worker", id.value()), Field("ends", std::to_string(ends))});
+    }
+  }
+
   bool MayOrder() const {
     return !is_halted_ && timers_.Now() < hooks_.order_limit();
   }
@@ -365,8 +386,13 @@
     if (is_loaded_ && !is_releasing_) {
       if (MayOrder()) {
         const bool may_start = timers_.Now() < hooks_.start_limit();
+        const Instant began = timers_.Now();
         const DispatchPlan plan =
-            dispatcher_->Plan(timers_.Now(), hooks_.wall_ms(), may_start);
+            dispatcher_->Plan(began, hooks_.wall_ms(), may_start);
+        if (hooks_.decided) {
+          hooks_.decided("dispatch", dispatcher_->active_jobs(),
+                         timers_.Now() - began);
+        }
         if (!may_start) PlanAt(timers_.Now() + kRetryPause);
         for (const StopOrder& it : plan.stops) Send(it);
         for (const StartOrder& it : plan.starts) Send(it);
@@ -375,42 +401,15 @@
         PlanAt(timers_.Now() + kRetryPause);
       }
     }
-    ReportEmptied();
+    if (is_loaded_ && !is_releasing_) evacuations_->Report();
     StoreProgress();
   }
 
-  /// Tells the fleet's owner which closed workers run nothing any more.
-  void ReportEmptied() {
-    if (!is_loaded_ || is_releasing_) return;
-    for (auto& [worker, evacuation] : evacuating_) {
-      if (evacuation.is_reported) continue;
-      const auto link = links_.find(worker);
-      const bool is_empty = link == links_.end() || link->second->is_gone() ||
-                            dispatcher_->IsEmpty(worker);
-      if (!is_empty) continue;
-      evacuation.is_reported = true;
-      Transaction transaction;
-      transaction.expectations = {{OwnerKey(pool_), Version(token_.value())}};
-      transaction.writes = {
-          {EmptiedKey(pool_, worker), evacuation.request, {}}};
-      platform_.store.commit(
-          std::move(transaction), kStoreTimeout,
-          Guarded<CommitResult>(
-              [id = worker](Impl& self, const Result<CommitResult>& result) {
-                self.OnEmptiedStored(id, result);
-              }));
-    }
-  }
-
-  void OnEmptiedStored(const WorkerId& worker,
-                       const Result<CommitResult>& result) {
-    const bool is_stored = result && result->is_committed;
-    Event("worker-emptied", {Field("worker", worker.value()),
-                             Field("stored", is_stored ? "yes" : "no")});
-    if (is_stored) return;
-    if (const auto it = evacuating_.find(worker); it != evacuating_.end())
-      it->second.is_reported = false;
-    PlanAt(timers_.Now() + kRetryPause);
+  /// Nothing runs on the worker, or it has ended.
+  bool IsEmpty(const WorkerId& worker) const {
+    const auto link = links_.find(worker);
+    return link == links_.end() || link->second->is_gone() ||
+           dispatcher_->IsEmpty(worker);
   }
 
   void Send(const StartOrder& order) {
@@ -548,11 +547,12 @@
   std::map<WorkerId, std::unique_ptr<WorkerLink>> links_;
   std::vector<ListedWorker> listed_;
   std::set<WorkerId> gone_;
+  /// Workers whose latest report listed many ends.
+  std::set<WorkerId> backlogged_;
   std::optional<RosterKeeper> roster_;
   std::map<JobId, JobProgress> progress_;
   std::set<JobId> early_cancels_;
-  /// Workers that are to be emptied.
-  std::map<WorkerId, Evacuation> evacuating_;
+  std::optional<Evacuations> evacuations_;
   std::function<void()> released_;
   Instant plan_at_{};
   TimerId plan_timer_ = 0;
--- a/libs/jobserver/src/pool_owner.h
+++ b/libs/jobserver/src/pool_owner.h
@@ -8,6 +8,7 @@
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/config/job_service_settings.h"
+#include "pomelomill/jobserver/decision_hook.h"
 #include "pomelomill/jobserver/fleet_config.h"
 #include "pomelomill/jobserver/platform_hooks.h"
 
@@ -25,6 +26,8 @@
   std::function<std::int64_t()> wall_ms;
   EventHook event;
   Dispatcher::TimeHook time;
+  /// A decision was taken on so many items and took so long; optional.
+  DecisionHook decided;
 };
 
 /// Runs the jobs of one pool under one fencing token: loads them, keeps links
