Bound the starts that an owner has under way

Cause: a plan holds a start for every task that finds a place, whatever the link carries.

At most 32 starts are now under way (DispatcherOptions::max_starts_under_way; 0.1 s of the slowest link). The others stay unplaced and are ordered again by rank: on the next report or answer, and after 20 ms at the latest. A gang counts as a whole; one that is larger than the limit starts when nothing else is under way, and later tasks do not overtake it. A start leaves the window when its call ends, with or without an answer, or when a report lists it.

has_deferred_starts() says that an answer is a reason to plan. PoolOwner does not use it yet, so a full window is looked at again after 20 ms.

Ruled out: a limit by worker, which does not bound the owner's link, and a longer time-out, which leaves the lease's renewals behind 3.2 MB of starts.

Failed before: CHECK( burst.most_under_way <= kMostUnderWay ) 800 <= 32 CHECK( burst.most_under_way <= kMostUnderWay ) 400 <= 32 CHECK( burst.most_under_way == kMostUnderWay + 8 ) 120 == 40 After: dispatch_test and jobserver_test pass (asan).

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -53,6 +53,13 @@
   Duration suspect_for = std::chrono::seconds(3);
   /// A worker that refused a start is not tried again before.
   Duration refusal_pause = std::chrono::milliseconds(250);
+  /// Starts that were sent and not answered. A start of 4 KB takes 3.3 ms on
+  /// the slowest link of 10 Mbit/s, so this many take some 0.1 s of the 0.8 s
+  /// in which each must be answered.
+  std::uint32_t max_starts_under_way = 32;
+  /// While starts wait for answers to earlier ones, plans are made at least
+  /// this often. Short beside the 0.1 s that a full window takes on that link.
+  Duration start_again_after = std::chrono::milliseconds(20);
   /// A job whose phase is final is remembered for this long.
   Duration keep_ended = std::chrono::seconds(180);
 };
@@ -71,8 +78,9 @@
   std::uint32_t run = 0;
 };
 
-/// Orders for the workers. `again_at` is when to plan again even if nothing
-/// happens before.
+/// Orders for the workers, starts in the order of their jobs' ranks. Each start
+/// must be answered by Dispatcher::OnStart, also when it could not be sent.
+/// `again_at` is when to plan again even if nothing happens before.
 struct DispatchPlan {
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
@@ -210,6 +218,9 @@
   DispatchLoad load() const;
   std::size_t active_jobs() const;
   std::size_t running_tasks() const;
+  /// Whether the latest plan left out starts because too many are under way: an
+  /// answer to one of them is a reason to plan.
+  bool has_deferred_starts() const;
   /// Whether inherited tasks still wait for workers to report.
   bool is_settled() const;
 
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -157,6 +157,10 @@
   task.stop_again_at = Instant{};
 }
 
+void Dispatcher::Impl::SettleStart(const TaskKey& key, std::uint32_t run) {
+  if (!under_way_.empty()) under_way_.erase({key, run});
+}
+
 ProgressBatch Dispatcher::Impl::TakeBatch() {
   ProgressBatch batch;
   if (dirty_.empty()) return batch;
@@ -293,11 +297,15 @@
 }
 void Dispatcher::OnReport(const WorkerId& worker, const WorkerReport& report,
                           Instant now, std::int64_t wall_ms) {
+  // A run that the worker lists has arrived, whatever became of the answer.
+  for (const RunningTask& it : report.running)
+    impl_->SettleStart(it.key, it.run);
   impl_->OnReport(worker, report, now, wall_ms);
 }
 void Dispatcher::OnStart(const WorkerId& worker, const TaskKey& key,
                          std::uint32_t run, StartOutcome outcome,
                          std::int64_t clock_ms, Instant now) {
+  impl_->SettleStart(key, run);
   impl_->OnStart(worker, key, run, outcome, clock_ms, now);
 }
 void Dispatcher::OnStop(const WorkerId& worker, const TaskKey& key,
@@ -358,6 +366,10 @@
   return n;
 }
 
+bool Dispatcher::has_deferred_starts() const {
+  return impl_->has_deferred_starts();
+}
+
 bool Dispatcher::is_settled() const { return impl_->is_settled(); }
 
 }  // namespace pomelomill
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -40,6 +40,9 @@
   void OnWorkerSilent(const WorkerId& id);
   void OnWorkerGone(const WorkerId& id, Instant now);
 
+  /// The start is no longer under way.
+  void SettleStart(const TaskKey& key, std::uint32_t run);
+
   DispatchPlan Plan(Instant now, std::int64_t wall_ms, bool may_start);
 
   ProgressBatch TakeBatch();
@@ -55,6 +58,7 @@
 
   const std::map<JobId, ActiveJob>& jobs() const { return jobs_; }
   const WorkerTable& workers() const { return workers_; }
+  bool has_deferred_starts() const { return has_deferred_starts_; }
   bool is_settled() const { return unsettled_.empty(); }
 
  private:
@@ -99,9 +103,13 @@
                   Instant now);
   void PlanStops(Instant now, DispatchPlan& plan);
   void PlanStarts(Instant now, DispatchPlan& plan);
-  void PlanStep(ActiveJob& job, std::uint32_t occurrence, std::uint32_t step,
+  /// Whether so many more starts may be sent; any number when none is under
+  /// way, or a gang larger than the limit would never start.
+  bool HasWindow(std::size_t starts) const;
+  /// False when too many starts are under way for the next one.
+  bool PlanStep(ActiveJob& job, std::uint32_t occurrence, std::uint32_t step,
                 Instant now, DispatchPlan& plan);
-  void PlanGang(ActiveJob& job, std::uint32_t occurrence, std::uint32_t step,
+  bool PlanGang(ActiveJob& job, std::uint32_t occurrence, std::uint32_t step,
                 Instant now, DispatchPlan& plan);
   bool MayStart(const ActiveJob& job, const TaskState& task, Instant now,
                 DispatchPlan& plan) const;
@@ -123,6 +131,9 @@
   std::set<WorkerId> unsettled_;
   /// Stops of runs that belong to no task of this owner.
   std::vector<StopOrder> stray_stops_;
+  /// Starts that were sent and whose outcome is open.
+  std::set<std::pair<TaskKey, std::uint32_t>> under_way_;
+  bool has_deferred_starts_ = false;
   std::set<JobId> dirty_;
   std::uint64_t last_batch_ = 0;
   std::uint64_t stored_batch_ = 0;
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -105,7 +105,13 @@
   }
 }
 
+bool Dispatcher::Impl::HasWindow(std::size_t starts) const {
+  return under_way_.empty() ||
+         under_way_.size() + starts <= options_.max_starts_under_way;
+}
+
 void Dispatcher::Impl::PlanStarts(Instant now, DispatchPlan& plan) {
+  has_deferred_starts_ = false;
   for (const auto& [id, worker] : workers_.all()) {
     if (worker.is_listed && worker.blocked_until > now)
       WakeAt(plan, worker.blocked_until);
@@ -129,11 +135,14 @@
         const StepState& step = occurrence.steps[s];
         if (step.done + step.placed == step.tasks.size()) continue;
         if (!IsReady(*job, occurrence, s)) continue;
-        if (job->spec->steps[s].is_gang) {
-          PlanGang(*job, number, s, now, plan);
-        } else {
-          PlanStep(*job, number, s, now, plan);
-        }
+        const bool has_window = job->spec->steps[s].is_gang
+                                    ? PlanGang(*job, number, s, now, plan)
+                                    : PlanStep(*job, number, s, now, plan);
+        if (has_window) continue;
+        // The rest is planned when answers arrive, in the order of that time.
+        has_deferred_starts_ = true;
+        WakeAt(plan, now + options_.start_again_after);
+        return;
       }
     }
   }
@@ -165,10 +174,11 @@
            std::to_string(used.memory_mb) + "/" +
            std::to_string(worker.spec.capacity.memory_mb) + " failures " +
            std::to_string(task.failed_runs.size()));
+  under_way_.emplace(key, run);
   plan.starts.push_back({worker.spec.id, key, run, task.saved, job.spec});
 }
 
-void Dispatcher::Impl::PlanStep(ActiveJob& job, std::uint32_t occurrence,
+bool Dispatcher::Impl::PlanStep(ActiveJob& job, std::uint32_t occurrence,
                                 std::uint32_t step, Instant now,
                                 DispatchPlan& plan) {
   const StepSpec& spec = job.spec->steps[step];
@@ -177,20 +187,22 @@
     TaskState& task = state.tasks[i];
     if (!MayStart(job, task, now, plan)) continue;
     PoolWorker* const worker = ChooseWorker(workers_, spec, state, task, now);
-    if (worker == nullptr) return;
+    if (worker == nullptr) return true;
+    if (!HasWindow(1)) return false;
     const std::uint32_t run = std::max(next_run_, task.run + 1);
     Start(job, {job.id, occurrence, step, i}, task, *worker, run, now, plan);
   }
+  return true;
 }
 
-void Dispatcher::Impl::PlanGang(ActiveJob& job, std::uint32_t occurrence,
+bool Dispatcher::Impl::PlanGang(ActiveJob& job, std::uint32_t occurrence,
                                 std::uint32_t step, Instant now,
                                 DispatchPlan& plan) {
   const StepSpec& spec = job.spec->steps[step];
   StepState& state = job.occurrences.at(occurrence).steps[step];
   std::uint32_t run = next_run_;
   for (const TaskState& it : state.tasks) {
-    if (!MayStart(job, it, now, plan)) return;
+    if (!MayStart(job, it, now, plan)) return true;
     run = std::max(run, it.run + 1);
   }
   // All members resume from one checkpoint, whichever member wrote it.
@@ -206,17 +218,20 @@
     placed.push_back(i);
   }
   const bool is_whole = placed.size() == state.tasks.size();
+  const bool has_window = !is_whole || HasWindow(placed.size());
   for (const std::uint32_t i : placed) {
     TaskState& task = state.tasks[i];
     const TaskKey key{job.id, occurrence, step, i};
-    if (!is_whole) {
+    if (!is_whole || !has_window) {
       Unplace(job, key, task);
       continue;
     }
     task.saved = saved;
     Note("task-start", key, run, task.worker, "gang");
+    under_way_.emplace(key, run);
     plan.starts.push_back({task.worker, key, run, saved, job.spec});
   }
+  return has_window;
 }
 
 }  // namespace pomelomill
--- a/libs/dispatch/test/peak_test.cc
+++ b/libs/dispatch/test/peak_test.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 
 #include "pomelomill/base/random.h"
@@ -240,8 +242,142 @@
   return Judge(jobs, finished, last_ms);
 }
 
+/// One task after another, on 100 workers that become free at the same moment.
+struct Burst {
+  static constexpr std::size_t kFreeWorkers = 100;
+  static constexpr std::uint32_t kCores = 8;
+
+  explicit Burst(std::vector<std::uint32_t> widths, bool is_gang = false) {
+    dispatcher.SetQueue(QueueId("q"),
+                        {.max_attempts = 3, .target_latency = milliseconds(1)});
+    std::vector<WorkerSpec> workers;
+    for (std::size_t i = 0; i < kFreeWorkers; ++i) {
+      workers.push_back({.id = WorkerId("w" + std::to_string(i)),
+                         .capacity = {kCores * 1'000, 1'000'000, 0}});
+    }
+    dispatcher.ListWorkers(workers);
+    for (std::size_t i = 0; i < widths.size(); ++i) {
+      auto spec = std::make_shared<JobSpec>();
+      spec->payload.assign(4'096, 'p');
+      StepSpec step;
+      step.tasks = widths[i];
+      step.size = {.cpu_millis = 1'000, .memory_mb = 100};
+      step.estimate = milliseconds(500);
+      step.is_gang = is_gang;
+      spec->steps = {step};
+      dispatcher.AddJob({.id = JobId("j" + std::to_string(i)),
+                         .queue = QueueId("q"),
+                         .spec = spec},
+                        Instant());
+      tasks += widths[i];
+    }
+    for (const WorkerSpec& it : workers) {
+      dispatcher.OnReport(it.id, {.clock_ms = 1, .born_ms = 1}, Instant(), 0);
+    }
+  }
+
+  /// Plays `last_ms`. Every start is answered after `answer_ms`, without an
+  /// answer if `is_silent` says so of its worker.
+  void Play(int last_ms, int answer_ms,
+            const std::function<bool(const WorkerId&)>& is_silent = {}) {
+    std::multimap<int, StartOrder> under_way;
+    std::multimap<int, StartOrder> running;
+    for (int ms = 0; ms <= last_ms && done < tasks; ++ms) {
+      const Instant now{milliseconds(ms)};
+      bool is_due = ms == 0 || (again_at && *again_at <= now);
+      while (!under_way.empty() && under_way.begin()->first <= ms) {
+        const StartOrder it = under_way.begin()->second;
+        under_way.erase(under_way.begin());
+        const bool is_lost = is_silent && is_silent(it.worker);
+        if (is_lost) dispatcher.OnWorkerSilent(it.worker);
+        dispatcher.OnStart(
+            it.worker, it.key, it.run,
+            is_lost ? StartOutcome::kUnknown : StartOutcome::kStarted, ++clock,
+            now);
+        if (!is_lost) {
+          last_answer_ms = ms;
+          ++started;
+          running.emplace(ms + 500, it);
+        }
+        is_due = true;
+      }
+      while (!running.empty() && running.begin()->first <= ms) {
+        const StartOrder it = running.begin()->second;
+        running.erase(running.begin());
+        ++done;
+        WorkerReport report{.clock_ms = ++clock, .born_ms = 1};
+        for (const auto& [at, other] : running) {
+          if (other.worker == it.worker)
+            report.running.push_back({.key = other.key, .run = other.run});
+        }
+        report.ended.push_back({.number = ++ends[it.worker],
+                                .key = it.key,
+                                .run = it.run,
+                                .outcome = RunOutcome::kDone});
+        dispatcher.OnReport(it.worker, report, now, 0);
+        is_due = true;
+      }
+      if (!is_due) continue;
+      const DispatchPlan plan = dispatcher.Plan(now, 0);
+      again_at = plan.again_at;
+      for (const StartOrder& it : plan.starts)
+        under_way.emplace(ms + answer_ms, it);
+      most_under_way = std::max(most_under_way, under_way.size());
+    }
+  }
+
+  Dispatcher dispatcher{DispatcherOptions{}};
+  std::optional<Instant> again_at;
+  std::map<WorkerId, std::uint64_t> ends;
+  std::int64_t clock = 1;
+  std::size_t tasks = 0;
+  std::size_t started = 0;
+  std::size_t done = 0;
+  std::size_t most_under_way = 0;
+  int last_answer_ms = 0;
+};
+
+constexpr std::size_t kMostUnderWay = DispatcherOptions{}.max_starts_under_way;
+
 }  // namespace
 
+TEST_CASE("starts under way are bounded when many workers become free") {
+  // Guards against a burst of starts that fills the owner's link: 800 starts of
+  // 4 KB take 2.6 s at 10 Mbit/s, longer than a start may take.
+  constexpr int kAnswerMs = 5;
+  Burst burst(std::vector<std::uint32_t>(580, 3));
+  burst.Play(60'000, kAnswerMs);
+  CHECK(burst.most_under_way <= kMostUnderWay);
+  CHECK(burst.done == burst.tasks);
+  // The window does not make the starts longer than the answers to them.
+  Burst first(std::vector<std::uint32_t>(Burst::kFreeWorkers,
+                                         std::uint32_t{Burst::kCores}));
+  first.Play(499, kAnswerMs);
+  CHECK(first.started == first.tasks);
+  CHECK(first.last_answer_ms <=
+        static_cast<int>((first.tasks + kMostUnderWay - 1) / kMostUnderWay) *
+            kAnswerMs);
+}
+
+TEST_CASE("workers that do not answer give their starts back to the others") {
+  // Guards against a window that stays full of starts without an answer.
+  Burst burst(std::vector<std::uint32_t>(400, 1));
+  burst.Play(5'000, 800, [](const WorkerId& it) {
+    return it.value().size() == 2;  // w0 to w9
+  });
+  CHECK(burst.most_under_way <= kMostUnderWay);
+  // The first 32 starts may all be lost; each later window is answered.
+  CHECK(burst.started >= 5 * kMostUnderWay);
+}
+
+TEST_CASE("a gang larger than the window starts alone and is not overtaken") {
+  // Guards against a wide gang that finds the window in use each time.
+  Burst burst({kMostUnderWay + 8, 20, 20, kMostUnderWay + 8}, true);
+  burst.Play(5'000, 5);
+  CHECK(burst.most_under_way == kMostUnderWay + 8);
+  CHECK(burst.done == burst.tasks);
+}
+
 TEST_CASE("a peak beyond the pool's capacity leaves most callers in time") {
   // First come, first served makes every job of the peak late. The bounds are
   // the users' targets: nearly every job served within three objectives, and
