Count a pool's VMs once for each decision on maintenance

The decision on maintenance waves counted all VMs of a pool, and looked through all waves for each of them, for every VM that a wave waits to close: the square of the number of VMs, after each report of an emptied worker and each answer of the platform. The fleet's owner also copied the whole list of VMs twice, four times a second, to tell the two decisions what the other has taken.

WaveBook counts pools once for each decision, and both parts get the list of VMs only when there is a new one; between lists they exchange ids. Keys of closed workers are looked through only while there are any.

--- a/libs/fleet/include/pomelomill/fleet/wave_book.h
+++ b/libs/fleet/include/pomelomill/fleet/wave_book.h
@@ -65,6 +65,8 @@
   void RemoveWave(const WaveId& wave);
   /// All VMs of the deployment; those of `spare` pools run no tasks.
   void SetVms(const std::vector<FleetVm>& vms, const std::set<PoolId>& spare);
+  /// VMs that are up and being taken to another pool; they count as moving.
+  void SetLeaving(const std::set<VmId>& leaving);
   /// The owner of the worker's pool says that nothing runs there and that
   /// nothing will be started.
   void OnEmptied(const WorkerId& worker);
@@ -107,20 +109,37 @@
     bool is_complete = false;
   };
 
+  /// VMs of one pool in one decision.
+  struct PoolCount {
+    std::size_t size = 0;
+    /// Taken for a wave or not up.
+    std::size_t lost = 0;
+    /// Of those that are lost.
+    std::size_t moving = 0;
+  };
+  /// Counted once for each decision and kept up to date while it closes VMs.
+  struct Snapshot {
+    std::set<VmId> taken;
+    std::map<PoolId, PoolCount> pools;
+  };
+
+  static bool IsTaken(const Entry& entry);
   const FleetVm* FindVm(const VmId& vm) const;
+  FleetVmState StateOf(const FleetVm& vm) const;
+  Snapshot TakeSnapshot() const;
   void Advance(Wave& wave);
-  std::uint32_t CountDown(const Wave& wave) const;
-  void PlanCloses(Wave& wave, Instant now, FleetPlan& plan);
+  bool CountsAsDown(const VmId& vm, const Entry& entry) const;
+  void PlanCloses(Wave& wave, Instant now, Snapshot& snapshot, FleetPlan& plan);
   bool IsBehind(const Wave& wave, Instant now) const;
   void PlanMaintains(Wave& wave, Instant now, FleetPlan& plan);
-  bool IsTaken(const VmId& vm) const;
   void Reopen(const WaveId& wave, const VmId& vm);
   /// VMs on their way to the pool count as lost unless `is_behind`.
-  bool PoolMayLoseOne(const PoolId& pool, bool is_behind) const;
+  bool MayLoseOne(const PoolCount& pool, bool is_behind) const;
 
   WaveBookOptions options_;
   std::map<WaveId, Wave> waves_;
   std::map<VmId, FleetVm> vms_;
+  std::set<VmId> leaving_;
   std::set<PoolId> spare_;
   std::set<WorkerId> emptied_;
   std::vector<FleetPlan::Close> reopens_;
--- a/libs/fleet/src/wave_book.cc
+++ b/libs/fleet/src/wave_book.cc
@@ -38,6 +38,11 @@
   for (auto& [id, wave] : waves_) Advance(wave);
 }
 
+void WaveBook::SetLeaving(const std::set<VmId>& leaving) {
+  leaving_ = leaving;
+  for (auto& [id, wave] : waves_) Advance(wave);
+}
+
 void WaveBook::OnEmptied(const WorkerId& worker) { emptied_.insert(worker); }
 
 const FleetVm* WaveBook::FindVm(const VmId& vm) const {
@@ -45,11 +50,17 @@
   return it == vms_.end() ? nullptr : &it->second;
 }
 
+FleetVmState WaveBook::StateOf(const FleetVm& vm) const {
+  const bool is_leaving =
+      vm.state == FleetVmState::kUp && leaving_.contains(vm.vm);
+  return is_leaving ? FleetVmState::kMoving : vm.state;
+}
+
 void WaveBook::Advance(Wave& wave) {
   for (auto& [id, entry] : wave.vms) {
     const FleetVm* const vm = FindVm(id);
     if (vm == nullptr) continue;
-    const bool has_returned = vm->state == FleetVmState::kUp &&
+    const bool has_returned = StateOf(*vm) == FleetVmState::kUp &&
                               vm->worker != entry.worker && !vm->worker.empty();
     if (entry.stage == Stage::kDown && has_returned) entry.stage = Stage::kDone;
     // Its worker ended before it was emptied: begin again with the next one.
@@ -88,28 +99,18 @@
   }
 }
 
-std::uint32_t WaveBook::CountDown(const Wave& wave) const {
-  std::uint32_t n = 0;
-  for (const auto& [id, entry] : wave.vms) {
-    const FleetVm* const vm = FindVm(id);
-    const bool is_listed_down =
-        vm != nullptr && vm->state == FleetVmState::kInMaintenance;
-    const bool may_be_down =
-        entry.stage == Stage::kAsked || entry.stage == Stage::kDown ||
-        (entry.stage == Stage::kClosing && entry.retry_at != Instant{});
-    n += may_be_down || is_listed_down;
-  }
-  return n;
+bool WaveBook::CountsAsDown(const VmId& id, const Entry& entry) const {
+  const FleetVm* const vm = FindVm(id);
+  const bool is_listed_down =
+      vm != nullptr && vm->state == FleetVmState::kInMaintenance;
+  return is_listed_down || entry.stage == Stage::kAsked ||
+         entry.stage == Stage::kDown ||
+         (entry.stage == Stage::kClosing && entry.retry_at != Instant{});
 }
 
-bool WaveBook::IsTaken(const VmId& vm) const {
-  return std::any_of(waves_.begin(), waves_.end(), [&](const auto& it) {
-    const auto entry = it.second.vms.find(vm);
-    return entry != it.second.vms.end() &&
-           (entry->second.stage == Stage::kClosing ||
-            entry->second.stage == Stage::kAsked ||
-            entry->second.stage == Stage::kDown);
-  });
+bool WaveBook::IsTaken(const Entry& entry) {
+  return entry.stage == Stage::kClosing || entry.stage == Stage::kAsked ||
+         entry.stage == Stage::kDown;
 }
 
 bool WaveBook::IsBehind(const Wave& wave, Instant now) const {
@@ -124,37 +125,44 @@
              static_cast<double>(passed.count());
 }
 
-bool WaveBook::PoolMayLoseOne(const PoolId& pool, bool is_behind) const {
-  if (spare_.contains(pool)) return true;
-  std::size_t size = 0;
-  std::size_t taken = 0;
+WaveBook::Snapshot WaveBook::TakeSnapshot() const {
+  Snapshot snapshot{.taken = taken(), .pools = {}};
   for (const auto& [id, vm] : vms_) {
-    const bool is_left_out = is_behind && vm.state == FleetVmState::kMoving;
-    if (vm.pool != pool || is_left_out) continue;
-    ++size;
-    taken += IsTaken(id) || vm.state != FleetVmState::kUp;
+    const FleetVmState state = StateOf(vm);
+    PoolCount& pool = snapshot.pools[vm.pool];
+    ++pool.size;
+    pool.lost += state != FleetVmState::kUp || snapshot.taken.contains(id);
+    pool.moving += state == FleetVmState::kMoving;
   }
-  const auto limit = static_cast<std::size_t>(static_cast<double>(size) *
-                                              options_.max_pool_share);
-  return taken < std::max<std::size_t>(1, limit);
+  return snapshot;
 }
 
-void WaveBook::PlanCloses(Wave& wave, Instant now, FleetPlan& plan) {
+bool WaveBook::MayLoseOne(const PoolCount& pool, bool is_behind) const {
+  const std::size_t left_out = is_behind ? pool.moving : 0;
+  const auto limit = static_cast<std::size_t>(
+      static_cast<double>(pool.size - left_out) * options_.max_pool_share);
+  return pool.lost - left_out < std::max<std::size_t>(1, limit);
+}
+
+void WaveBook::PlanCloses(Wave& wave, Instant now, Snapshot& snapshot,
+                          FleetPlan& plan) {
   const bool is_behind = IsBehind(wave, now);
   // While some are down, the next are emptied.
   const std::uint32_t limit = 2 * wave.wave.max_down;
   std::uint32_t under_way = 0;
   for (const auto& [id, entry] : wave.vms) {
-    under_way += entry.stage == Stage::kClosing ||
-                 entry.stage == Stage::kAsked || entry.stage == Stage::kDown;
+    under_way += IsTaken(entry);
   }
   for (auto& [id, entry] : wave.vms) {
     if (under_way >= limit) return;
     const FleetVm* const vm = FindVm(id);
     if (entry.stage != Stage::kPending || vm == nullptr ||
-        vm->state != FleetVmState::kUp || IsTaken(id) ||
-        !PoolMayLoseOne(vm->pool, is_behind))
+        StateOf(*vm) != FleetVmState::kUp || snapshot.taken.contains(id))
       continue;
+    PoolCount& pool = snapshot.pools[vm->pool];
+    if (!spare_.contains(vm->pool) && !MayLoseOne(pool, is_behind)) continue;
+    ++pool.lost;
+    snapshot.taken.insert(id);
     entry.stage = Stage::kClosing;
     entry.worker = vm->worker;
     entry.retry_at = Instant{};
@@ -169,12 +177,16 @@
 }
 
 void WaveBook::PlanMaintains(Wave& wave, Instant now, FleetPlan& plan) {
+  auto down = static_cast<std::uint32_t>(std::count_if(
+      wave.vms.begin(), wave.vms.end(),
+      [&](const auto& it) { return CountsAsDown(it.first, it.second); }));
   for (auto& [id, entry] : wave.vms) {
     if (entry.stage != Stage::kClosing || !emptied_.contains(entry.worker) ||
         now < entry.retry_at)
       continue;
     const bool was_asked = entry.retry_at != Instant{};
-    if (!was_asked && CountDown(wave) >= wave.wave.max_down) continue;
+    if (!was_asked && down >= wave.wave.max_down) continue;
+    down += !CountsAsDown(id, entry);
     entry.stage = Stage::kAsked;
     if (entry.first_asked.empty()) entry.first_asked = entry.worker;
     plan.maintains.push_back({id, wave.wave.id});
@@ -185,10 +197,12 @@
   FleetPlan plan;
   plan.reopens = std::exchange(reopens_, {});
   if (vms_.empty()) return plan;
+  if (!has_open_waves()) return plan;
+  Snapshot snapshot = TakeSnapshot();
   for (auto& [id, wave] : waves_) {
     if (wave.is_complete) continue;
     if (!wave.began) wave.began = now;
-    PlanCloses(wave, now, plan);
+    PlanCloses(wave, now, snapshot, plan);
     PlanMaintains(wave, now, plan);
     const bool is_complete =
         std::all_of(wave.vms.begin(), wave.vms.end(), [&](const auto& it) {
@@ -219,7 +233,7 @@
   std::set<VmId> vms;
   for (const auto& [id, wave] : waves_) {
     for (const auto& [vm, entry] : wave.vms) {
-      if (IsTaken(vm)) vms.insert(vm);
+      if (IsTaken(entry)) vms.insert(vm);
     }
   }
   return vms;
--- a/libs/jobserver/src/fleet_manager.cc
+++ b/libs/jobserver/src/fleet_manager.cc
@@ -219,17 +219,20 @@
       self.is_listing_ = false;
       if (!vms)
         return self.Event("list-failed", {{"error", vms.error().message()}});
-      self.vms_ = *vms;
-      self.ForgetClosures();
-      self.ApplyVms();
+      self.ForgetClosures(*vms);
+      self.vms_ = vms->size();
+      self.book_.SetLeaving(self.sizer_.taken());
+      self.book_.SetVms(*vms, self.spare_);
+      self.sizer_.SetVms(*vms, self.spare_, self.book_.taken());
       self.Plan();
     }));
   }
 
   /// Removes the keys of closed workers that have ended.
-  void ForgetClosures() {
+  void ForgetClosures(const std::vector<FleetVm>& vms) {
+    if (closures_.empty()) return;
     std::set<WorkerId> workers;
-    for (const FleetVm& it : vms_) workers.insert(it.worker);
+    for (const FleetVm& it : vms) workers.insert(it.worker);
     for (auto it = closures_.begin(); it != closures_.end();) {
       const auto& [worker, closure] = *it;
       if (workers.contains(worker)) {
@@ -243,15 +246,9 @@
   }
 
   /// Each of the two decisions leaves alone what the other has taken.
-  void ApplyVms() {
-    const std::set<VmId> moving = sizer_.taken();
-    std::vector<FleetVm> for_waves = vms_;
-    for (FleetVm& it : for_waves) {
-      if (moving.contains(it.vm) && it.state == FleetVmState::kUp)
-        it.state = FleetVmState::kMoving;
-    }
-    book_.SetVms(for_waves, spare_);
-    sizer_.SetVms(vms_, spare_, book_.taken());
+  void ExchangeTaken() {
+    book_.SetLeaving(sizer_.taken());
+    sizer_.SetBlocked(book_.taken());
   }
 
   void AskLoads() {
@@ -280,7 +277,7 @@
   void PlanSizes() {
     if (!MayCall()) return;
     const Instant began = timers_.Now();
-    ApplyVms();
+    ExchangeTaken();
     const SizePlan plan = sizer_.Plan(began);
     NoteDecision("size-pools", began);
     for (const auto& it : plan.closes) Close({it.pool, it.worker, {}});
@@ -305,8 +302,7 @@
   }
 
   void NoteDecision(std::string_view decision, Instant began) {
-    if (hooks_.decided)
-      hooks_.decided(decision, vms_.size(), timers_.Now() - began);
+    if (hooks_.decided) hooks_.decided(decision, vms_, timers_.Now() - began);
   }
 
   bool MayCall() const { return timers_.Now() < hooks_.call_limit(); }
@@ -383,7 +379,8 @@
   PoolSizer sizer_;
   std::set<PoolId> spare_;
   std::set<PoolId> pools_;
-  std::vector<FleetVm> vms_;
+  /// VMs in the last list.
+  std::size_t vms_ = 0;
   /// Keys of the operator's waves.
   std::map<std::string, WaveId> keys_;
   /// Workers that this owner has closed and not reopened.
