Take no run for lost by a report that may lack its end

A worker lists at most 500 ends in an answer. An owner that could not acknowledge ends took a run that was in neither list for lost and started its task again, although its end could be in the next part; the end is acknowledged later, which makes the second start a case of TWICE.

WorkerReport says whether ends may be missing. Such a report proves nothing about a run that it does not list: neither that it is lost or stopped, nor, for a new owner, that inherited tasks may start or that the worker is empty. A worker is used, and counts as empty, from its first report with all ends. BeginLife needs no change: it only requests stops, and these are closed by a report with all ends.

--- a/libs/dispatch/include/pomelomill/dispatch/worker_report.h
+++ b/libs/dispatch/include/pomelomill/dispatch/worker_report.h
@@ -63,9 +63,11 @@
   /// Unix time of the worker's start; tells lives under one id apart.
   std::int64_t born_ms = 0;
   std::vector<RunningTask> running;
-  /// Ends that were not acknowledged yet, ascending by number; possibly not
-  /// all of them.
+  /// Ends that were not acknowledged yet, ascending by number.
   std::vector<EndedTask> ended;
+  /// Further ends may be listed once these are acknowledged. A run that is in
+  /// neither list may have ended in any way.
+  bool may_lack_ends = false;
 };
 
 enum class StartOutcome {
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -40,14 +40,15 @@
                                 Instant now, WallMs wall_ms) {
   PoolWorker& worker = workers_.Get(id);
   worker.spec.id = id;
-  if (worker.has_reported && worker.born_ms != report.born_ms) {
+  if (worker.has_answered && worker.born_ms != report.born_ms) {
     Note("worker-reborn", {}, 0, id, std::to_string(report.born_ms));
     BeginLife(worker, report);
   }
   // Answers on different connections may overtake each other.
-  if (worker.has_reported && report.clock_ms < worker.clock_ms) return;
-  const bool is_first = !worker.has_reported;
-  worker.has_reported = true;
+  if (worker.has_answered && report.clock_ms < worker.clock_ms) return;
+  const bool is_first = !worker.has_reported && !report.may_lack_ends;
+  worker.has_answered = true;
+  worker.has_reported |= is_first;
   worker.is_silent = false;
   worker.born_ms = report.born_ms;
   worker.clock_ms = report.clock_ms;
@@ -60,8 +61,10 @@
   worker.strangers.clear();
   for (const RunningTask& it : report.running)
     OnRunning(id, worker, it, report.clock_ms);
-  CheckMissing(id, worker, report);
-  unsettled_.erase(id);
+  if (!report.may_lack_ends) {
+    CheckMissing(id, worker, report);
+    unsettled_.erase(id);
+  }
   if (is_first) {
     Note("worker-reported", {}, 0, id,
          std::to_string(report.running.size()) + " running, " +
@@ -213,7 +216,7 @@
   if (worker.tasks.empty()) return;
   std::set<TaskKey> listed;
   for (const RunningTask& it : report.running) listed.insert(it.key);
-  // A long list of ends comes in parts; the missing run may be in the next.
+  // Any end of the task counts, also that of an earlier run.
   for (const EndedTask& it : report.ended) listed.insert(it.key);
   const std::set<TaskKey> tasks = worker.tasks;
   for (const TaskKey& key : tasks) {
--- a/libs/dispatch/src/worker_table.h
+++ b/libs/dispatch/src/worker_table.h
@@ -17,6 +17,8 @@
   /// Being emptied for planned work.
   bool is_closed = false;
   /// A report under this owner's fencing token has arrived in this life.
+  bool has_answered = false;
+  /// So has one that lists all ends.
   bool has_reported = false;
   std::int64_t born_ms = 0;
   std::int64_t clock_ms = 0;
--- a/libs/dispatch/test/dispatcher_test.cc
+++ b/libs/dispatch/test/dispatcher_test.cc
@@ -158,6 +158,47 @@
   CHECK(again.starts[0].run > start.run);
 }
 
+TEST_CASE("a run is not missing while a report may lack ends") {
+  // A worker lists its ends in parts. A task whose end is in a later part must
+  // not be started again: the end is acknowledged afterwards.
+  Pool pool(1);
+  pool.dispatcher.AddJob(Job("a", {Tasks(1)}), At(0));
+  const auto starts = pool.Start();
+  REQUIRE(starts.size() == 1);
+  WorkerReport part;
+  part.ended.push_back({.number = 1,
+                        .key = {JobId("other"), 0, 0, 0},
+                        .run = 1,
+                        .outcome = RunOutcome::kDone});
+  part.may_lack_ends = true;
+  std::int64_t born = 1;
+  SUBCASE("while it runs") {
+    pool.Report(0, part);
+    CHECK(pool.Start().empty());
+  }
+  SUBCASE("while it is being stopped") {
+    pool.dispatcher.CancelJob(JobId("a"), At(0), 0);
+    pool.dispatcher.Plan(At(0), 0);
+    pool.dispatcher.OnStop(starts[0].worker, starts[0].key, starts[0].run,
+                           ++pool.clock, At(0));
+    pool.Report(0, part);
+    CHECK_FALSE(pool.dispatcher.IsEmpty(starts[0].worker));
+  }
+  SUBCASE("in a new life") {
+    born = 2;
+    pool.Report(0, part, born);
+    CHECK(pool.Start().empty());
+  }
+  WorkerReport rest;
+  rest.ended.push_back({.number = 2,
+                        .key = starts[0].key,
+                        .run = starts[0].run,
+                        .outcome = RunOutcome::kDone});
+  pool.Report(0, rest, born);
+  CHECK(pool.dispatcher.IsEmpty(starts[0].worker));
+  CHECK(pool.Start().empty());
+}
+
 TEST_CASE("a job fails after its last attempt, and only by failed runs") {
   Pool pool(2, 2);
   pool.dispatcher.AddJob(Job("a", {Tasks(1)}), At(0));
@@ -257,6 +298,38 @@
   }
 }
 
+TEST_CASE("a new owner waits for all ends of the workers that it finds") {
+  // The end of an inherited task may be in a later part of the list: until then
+  // the task is not started and the worker does not count as empty, since the
+  // ends that it lists would be lost with it.
+  Dispatcher dispatcher{DispatcherOptions{.first_run = 100}};
+  dispatcher.ExpectWorkers({WorkerId("w0"), WorkerId("w1")});
+  dispatcher.ListWorkers({{.id = WorkerId("w0"), .capacity = kCapacity},
+                          {.id = WorkerId("w1"), .capacity = kCapacity}});
+  AddedJob job = Job("a", {Tasks(1)});
+  job.is_inherited = true;
+  dispatcher.AddJob(job, At(0));
+  dispatcher.OnReport(WorkerId("w0"), {.clock_ms = 5, .born_ms = 1}, At(0), 0);
+  dispatcher.OnReport(WorkerId("w1"),
+                      {.clock_ms = 5, .born_ms = 1, .may_lack_ends = true},
+                      At(0), 0);
+  CHECK(dispatcher.Plan(At(0), 0).starts.empty());
+  CHECK_FALSE(dispatcher.is_settled());
+  CHECK(dispatcher.IsEmpty(WorkerId("w0")));
+  CHECK_FALSE(dispatcher.IsEmpty(WorkerId("w1")));
+  WorkerReport rest{.clock_ms = 6, .born_ms = 1};
+  rest.ended.push_back({.number = 501,
+                        .key = {JobId("a"), 0, 0, 0},
+                        .run = 7,
+                        .outcome = RunOutcome::kDone});
+  dispatcher.OnReport(WorkerId("w1"), rest, At(1), 0);
+  CHECK(dispatcher.is_settled());
+  CHECK(dispatcher.IsEmpty(WorkerId("w1")));
+  CHECK(dispatcher.Plan(At(1), 0).starts.empty());
+  dispatcher.OnStored(dispatcher.TakeBatch().number);
+  CHECK(dispatcher.ShownPhase(JobId("a")) == JobPhase::kComplete);
+}
+
 TEST_CASE("a new life of a worker: listed runs go on, others are stopped") {
   // An order may have reached the new life before its first report was read,
   // and been carried out after that report was written.
