Choose owners by what their entries can carry

Callers saw late answers from these owners and a fleet whose owner lost its lease again and again.

Cause: ChooseOwners counted pools and broke ties by a hash, and 35 to 37 of 43 to 45 entries are weak.

An entry now states its resources ([resources] in its settings, filled in by the template from the platform's limits) in its member record; an old record counts with the defaults. Each role (pool, spare pool, fleet) has an estimated need, and goes to the entry whose scarcest resource is used least after it; among equals to the zone with the fewest roles, then by hash. An entry takes more than half of the work only when no other can carry it. Of equal entries each gets one role, as before.

Ruled out: the order in which entries start. All had registered when the owners were chosen.

--- a/libs/config/include/pomelomill/config/job_service_settings.h
+++ b/libs/config/include/pomelomill/config/job_service_settings.h
@@ -12,6 +12,15 @@
 
 namespace pomelomill {
 
+/// What the VM of an entry provides.
+struct EntryCapacity {
+  double cpu_cores = 1;
+  double memory_mb = 512;
+  double link_mbps = 1000;
+
+  bool operator==(const EntryCapacity&) const = default;
+};
+
 /// Settings of one entry of the job service (`pomelomill dispatch`). Addresses
 /// are "HOST:PORT".
 struct JobServiceSettings {
@@ -28,6 +37,8 @@
   /// Where placement tickets are had; empty when no queue needs them.
   std::string placement_address;
   LogLevel log_level = LogLevel::kInfo;
+  /// Pools go to the entries that can carry them.
+  EntryCapacity capacity;
 
   /// Time to live of the entry's lease in the store. An owner that is lost is
   /// replaced after this time.
--- a/libs/config/src/job_service_settings.cc
+++ b/libs/config/src/job_service_settings.cc
@@ -24,6 +24,16 @@
     reader.Report("margin", "must be at most a third of the entry's lease");
 }
 
+void ReadResources(SectionReader& reader, EntryCapacity& capacity) {
+  double share = 1;
+  double cores = 1;
+  reader.Read("cpu_share", share, 0.001, 1);
+  reader.Read("cores", cores, 1, 1024);
+  reader.Read("memory_mb", capacity.memory_mb, 16, 16'000'000);
+  reader.Read("link_mbps", capacity.link_mbps, 0.1, 1'000'000);
+  capacity.cpu_cores = share * cores;
+}
+
 void ReadSection(SectionReader& reader, JobServiceSettings& settings) {
   const std::string& kind = reader.section().kind;
   if (!reader.section().name.empty()) reader.Report("", "takes no name");
@@ -50,6 +60,8 @@
     reader.ReadAddress("address", settings.placement_address);
   } else if (kind == "log") {
     reader.ReadLogLevel("level", settings.log_level);
+  } else if (kind == "resources") {
+    ReadResources(reader, settings.capacity);
   } else if (kind == "lease") {
     ReadLease(reader, settings);
   } else {
--- a/libs/config/test/job_service_settings_test.cc
+++ b/libs/config/test/job_service_settings_test.cc
@@ -42,6 +42,12 @@
            {"[lease]\nlength = 1s\n", 11},
            {"[unknown]\nx = 1\n", 10},
            {"[log]\nlevel = loud\n", 11},
+           {"[resources]\ncpu_share = 0\n", 11},
+           {"[resources]\ncpu_share = 1.5\n", 11},
+           {"[resources]\ncores = many\n", 11},
+           {"[resources]\nmemory_mb = -1\n", 11},
+           {"[resources]\nlink_mbps = 0\n", 11},
+           {"[resources]\nlink = 10\n", 11},
            {"[entry]\nid = twice\n", 10}}) {
     const std::string& text = row.first;
     const int line = row.second;
@@ -68,7 +74,11 @@
            {"ip", "10.1.0.9"},
            {"internalPorts.0", "7060"},
            {"platform.addr", "10.200.1.7:8621"},
-           {"cloud.addr", "10.200.0.107:8621"}}) {
+           {"cloud.addr", "10.200.0.107:8621"},
+           {"limits.cpuShare", "0.12"},
+           {"limits.cores", "2"},
+           {"limits.memoryMb", "160"},
+           {"limits.linkMbps", "10.0"}}) {
     const std::string placeholder = "{{" + name + "}}";
     for (auto at = text.find(placeholder); at != std::string::npos;
          at = text.find(placeholder))
@@ -80,6 +90,8 @@
   CHECK(settings->entry == EntryId("front-a-1"));
   CHECK(settings->stop_grace == seconds(6));
   CHECK(settings->peer_address == "10.1.0.9:7060");
+  CHECK(settings->capacity ==
+        EntryCapacity{.cpu_cores = 0.24, .memory_mb = 160, .link_mbps = 10});
 }
 
 }  // namespace pomelomill
--- a/libs/jobserver/src/cluster_view.cc
+++ b/libs/jobserver/src/cluster_view.cc
@@ -1,12 +1,80 @@
 #include "cluster_view.h"
 
+#include <algorithm>
+#include <cmath>
+#include <optional>
 #include <string_view>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 #include "pomelomill/base/hash.h"
 #include "store_keys.h"
 
 namespace pomelomill {
+namespace {
+
+/// Estimates of what an owner uses at a peak; only their ratio to the entries'
+/// capacities counts. A pool of some 80 workers takes the reports of each all
+/// the time and sends hundreds of starts a second.
+EntryCapacity NeedOf(RoleKind kind) {
+  switch (kind) {
+    case RoleKind::kPool:
+      return {.cpu_cores = 0.1, .memory_mb = 40, .link_mbps = 5};
+    case RoleKind::kFleet:
+      return {.cpu_cores = 0.08, .memory_mb = 20, .link_mbps = 2};
+    case RoleKind::kSparePool:
+      break;
+  }
+  return {.cpu_cores = 0.02, .memory_mb = 10, .link_mbps = 0.5};
+}
+
+enum class Fit {
+  kFits,
+  /// The entry would have more than half of all work.
+  kTakesMost,
+  kExceedsCapacity
+};
+
+/// What one entry has and what its roles need of it.
+class Load {
+ public:
+  explicit Load(const MemberRecord& member)
+      : zone_(member.zone), capacity_(member.capacity) {}
+
+  const ZoneId& zone() const { return zone_; }
+
+  void Add(const EntryCapacity& need) {
+    used_.cpu_cores += need.cpu_cores;
+    used_.memory_mb += need.memory_mb;
+    used_.link_mbps += need.link_mbps;
+  }
+
+  /// Millionths of the scarcest resource that are used after a further role.
+  /// Whole numbers, so that equal loads compare equal.
+  std::int64_t UseWith(const EntryCapacity& need) const {
+    const double use =
+        std::max({(used_.cpu_cores + need.cpu_cores) / capacity_.cpu_cores,
+                  (used_.memory_mb + need.memory_mb) / capacity_.memory_mb,
+                  (used_.link_mbps + need.link_mbps) / capacity_.link_mbps});
+    return std::llround(use * kMillion);
+  }
+
+  Fit FitFor(const EntryCapacity& need, double work) const {
+    if (UseWith(need) > kMillion) return Fit::kExceedsCapacity;
+    return (used_.cpu_cores + need.cpu_cores) * 2 > work ? Fit::kTakesMost
+                                                         : Fit::kFits;
+  }
+
+ private:
+  static constexpr std::int64_t kMillion = 1'000'000;
+
+  ZoneId zone_;
+  EntryCapacity capacity_;
+  EntryCapacity used_{.cpu_cores = 0, .memory_mb = 0, .link_mbps = 0};
+};
+
+}  // namespace
 
 bool ClusterView::Apply(const StoredKey& change) {
   const std::string_view key = change.key;
@@ -46,28 +114,45 @@
   return it->second.peer_address;
 }
 
-std::map<PoolId, EntryId> ChooseOwners(const std::map<PoolId, EntryId>& owned,
-                                       const std::vector<EntryId>& members,
-                                       const std::vector<PoolId>& unowned) {
-  std::map<EntryId, std::size_t> load;
-  for (const EntryId& it : members) load[it] = 0;
-  for (const auto& [pool, entry] : owned) {
-    if (const auto it = load.find(entry); it != load.end()) ++it->second;
+std::map<PoolId, EntryId> ChooseOwners(
+    const Roles& roles, const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members) {
+  std::map<EntryId, Load> loads;
+  for (const auto& [entry, member] : members) loads.emplace(entry, member);
+  std::map<ZoneId, std::size_t> roles_in_zone;
+  double work = 0;
+  // The largest first, so that the small ones even out the loads.
+  std::vector<std::pair<PoolId, EntryCapacity>> unowned;
+  for (const auto& [pool, kind] : roles) {
+    const EntryCapacity need = NeedOf(kind);
+    work += need.cpu_cores;
+    const auto owner = owned.find(pool);
+    if (owner == owned.end()) {
+      unowned.emplace_back(pool, need);
+    } else if (const auto it = loads.find(owner->second); it != loads.end()) {
+      it->second.Add(need);
+      ++roles_in_zone[it->second.zone()];
+    }
   }
+  std::stable_sort(unowned.begin(), unowned.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.second.cpu_cores > b.second.cpu_cores;
+                   });
   std::map<PoolId, EntryId> chosen;
-  for (const PoolId& pool : unowned) {
-    const EntryId* best = nullptr;
-    std::tuple<std::size_t, std::uint64_t> best_rank;
-    for (const auto& [entry, pools] : load) {
-      const std::tuple rank{pools,
-                            StableHash(pool.value() + "/" + entry.value())};
-      if (best != nullptr && rank >= best_rank) continue;
-      best = &entry;
-      best_rank = rank;
+  for (const auto& [pool, need] : unowned) {
+    using Rank = std::tuple<Fit, std::int64_t, std::size_t, std::uint64_t>;
+    std::optional<std::pair<Rank, EntryId>> best;
+    for (const auto& [entry, load] : loads) {
+      const Rank rank{load.FitFor(need, work), load.UseWith(need),
+                      roles_in_zone[load.zone()],
+                      StableHash(pool.value() + "/" + entry.value())};
+      if (!best || rank < best->first) best = {rank, entry};
     }
-    if (best == nullptr) break;
-    chosen[pool] = *best;
-    ++load[*best];
+    if (!best) break;
+    Load& load = loads.at(best->second);
+    load.Add(need);
+    ++roles_in_zone[load.zone()];
+    chosen[pool] = best->second;
   }
   return chosen;
 }
--- a/libs/jobserver/src/cluster_view.h
+++ b/libs/jobserver/src/cluster_view.h
@@ -33,11 +33,18 @@
   std::map<PoolId, Owner> owners_;
 };
 
-/// The entry that should acquire each pool that has no owner: one with the
-/// fewest pools, so that all entries that see the same cluster agree and the
-/// pools are spread.
-std::map<PoolId, EntryId> ChooseOwners(const std::map<PoolId, EntryId>& owned,
-                                       const std::vector<EntryId>& members,
-                                       const std::vector<PoolId>& unowned);
+/// What an owner does, which decides how much it needs.
+enum class RoleKind { kPool, kSparePool, kFleet };
+
+using Roles = std::map<PoolId, RoleKind>;
+
+/// The entry that should acquire each role that has no owner, so that all
+/// entries that see the same cluster agree. Each goes to the entry that has the
+/// most to spare for it; among equals to the zone with the fewest roles. An
+/// entry gets more than half of the work only when no other can carry it, since
+/// the loss of that entry would stop most pools.
+std::map<PoolId, EntryId> ChooseOwners(
+    const Roles& roles, const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members);
 
 }  // namespace pomelomill
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -165,10 +165,10 @@
            {"queues", std::to_string(fleet_->queues.size())}});
     for (auto& [id, pool] : pools_) pool->OnConfig(*fleet_);
     if (fleet_manager_) fleet_manager_->OnConfig(*fleet_);
-    std::vector<PoolId> pools = {PoolId(kFleetPool)};
-    for (const PoolConfig& it : fleet_->pools) pools.push_back(it.id);
-    std::sort(pools.begin(), pools.end());
-    ownership_.SetPools(std::move(pools));
+    Roles roles = {{PoolId(kFleetPool), RoleKind::kFleet}};
+    for (const PoolConfig& it : fleet_->pools)
+      roles[it.id] = it.is_spare ? RoleKind::kSparePool : RoleKind::kPool;
+    ownership_.SetRoles(std::move(roles));
   }
 
   void Own(const PoolId& pool, FencingToken token, const LeaseId& lease) {
--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -39,8 +39,8 @@
     timers_.Cancel(timer_);
   }
 
-  void SetPools(std::vector<PoolId> pools) {
-    pools_ = std::move(pools);
+  void SetRoles(Roles roles) {
+    roles_ = std::move(roles);
     Update();
   }
 
@@ -105,10 +105,10 @@
     is_registering_ = true;
     const LeaseId lease = lease_.lease();
     Transaction transaction;
-    transaction.writes = {
-        {MemberKey(settings_.entry),
-         EncodeMember({settings_.peer_address, settings_.zone, incarnation_}),
-         lease}};
+    transaction.writes = {{MemberKey(settings_.entry),
+                           EncodeMember({settings_.peer_address, settings_.zone,
+                                         incarnation_, settings_.capacity}),
+                           lease}};
     client_.commit(
         std::move(transaction), kCommitTimeout,
         [weak = weak_from_this(), lease](const Result<CommitResult>& result) {
@@ -124,7 +124,7 @@
     const Instant now = timers_.Now();
     std::vector<PoolId> unowned;
     std::map<PoolId, EntryId> owned;
-    for (const PoolId& it : pools_) {
+    for (const auto& [it, kind] : roles_) {
       const auto* const owner = view_.FindOwner(it);
       if (owner != nullptr) {
         owned[it] = owner->record.entry;
@@ -136,16 +136,16 @@
         // An acquisition without an answer took effect after all.
         if (IsMine(owner->record) && !acquiring_.contains(it))
           Own(it, owner->version);
-      } else if (!owned_.contains(it)) {
+      } else if (owned_.contains(it)) {
+        // The watch has not shown the acquisition yet.
+        owned[it] = settings_.entry;
+      } else {
         unowned.push_back(it);
         unowned_since_.try_emplace(it, now);
       }
     }
     if (unowned.empty()) return;
-    std::vector<EntryId> members;
-    for (const auto& [entry, record] : view_.members())
-      members.push_back(entry);
-    const auto chosen = ChooseOwners(owned, members, unowned);
+    const auto chosen = ChooseOwners(roles_, owned, view_.members());
     const bool is_first = view_.owners().empty();
     for (const PoolId& it : unowned) {
       const Instant since = unowned_since_[it];
@@ -226,7 +226,7 @@
   const JobServiceSettings& settings_;
   const IncarnationId incarnation_;
   OwnershipHooks hooks_;
-  std::vector<PoolId> pools_;
+  Roles roles_;
   std::map<PoolId, FencingToken> owned_;
   /// Owned pools whose key the watch has shown.
   std::set<PoolId> shown_;
@@ -253,9 +253,7 @@
 Ownership::~Ownership() { impl_->Halt(); }
 
 void Ownership::Update() { impl_->Update(); }
-void Ownership::SetPools(std::vector<PoolId> pools) {
-  impl_->SetPools(std::move(pools));
-}
+void Ownership::SetRoles(Roles roles) { impl_->SetRoles(std::move(roles)); }
 void Ownership::Leave() { impl_->Leave(); }
 const std::map<PoolId, FencingToken>& Ownership::owned() const {
   return impl_->owned();
--- a/libs/jobserver/src/ownership.h
+++ b/libs/jobserver/src/ownership.h
@@ -3,7 +3,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <vector>
 
 #include "cluster_view.h"
 #include "pomelomill/base/event_log.h"
@@ -39,7 +38,7 @@
 
   /// Call when the view, the lease or the pools have changed.
   void Update();
-  void SetPools(std::vector<PoolId> pools);
+  void SetRoles(Roles roles);
   /// Acquires nothing more and removes the entry's registration.
   void Leave();
 
--- a/libs/jobserver/src/store_records.cc
+++ b/libs/jobserver/src/store_records.cc
@@ -62,7 +62,10 @@
 std::string EncodeMember(const MemberRecord& member) {
   return Dump({{"peer", member.peer_address},
                {"zone", member.zone.value()},
-               {"incarnation", member.incarnation.value()}});
+               {"incarnation", member.incarnation.value()},
+               {"cpu", member.capacity.cpu_cores},
+               {"memory_mb", member.capacity.memory_mb},
+               {"link_mbps", member.capacity.link_mbps}});
 }
 
 Result<MemberRecord> DecodeMember(const std::string& text) {
@@ -70,6 +73,14 @@
     it.peer_address = Text(json, "peer");
     it.zone = ZoneId(Text(json, "zone"));
     it.incarnation = IncarnationId(Text(json, "incarnation"));
+    const EntryCapacity defaults;
+    it.capacity.cpu_cores = json.value("cpu", defaults.cpu_cores);
+    it.capacity.memory_mb = json.value("memory_mb", defaults.memory_mb);
+    it.capacity.link_mbps = json.value("link_mbps", defaults.link_mbps);
+    const bool is_positive = it.capacity.cpu_cores > 0 &&
+                             it.capacity.memory_mb > 0 &&
+                             it.capacity.link_mbps > 0;
+    if (!is_positive) it.capacity = defaults;
   });
 }
 
--- a/libs/jobserver/src/store_records.h
+++ b/libs/jobserver/src/store_records.h
@@ -8,6 +8,7 @@
 
 #include "pomelomill/base/ids.h"
 #include "pomelomill/base/result.h"
+#include "pomelomill/config/job_service_settings.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/dispatch/job_spec.h"
 
@@ -39,6 +40,8 @@
   std::string peer_address;
   ZoneId zone;
   IncarnationId incarnation;
+  /// The defaults for the record of a version that did not write it.
+  EntryCapacity capacity;
 };
 
 std::string EncodeMember(const MemberRecord& member);
