Count only a refusal by the worker's machine as a refused call

Every CURLE_COULDNT_CONNECT was taken for an answer of the worker's machine, and three in a row for the end of its process: its tasks started elsewhere at once. A process without descriptors or local ports, an unreachable network and a reset connection fail in the same way while the worker runs on, which gives two runs of each of its tasks.

CURLINFO_OS_ERRNO tells the cases apart. HttpError gets kConnectionRefused (ECONNREFUSED) and kNoSocket (no descriptor, port or memory here); kConnectFailed stays for the others. libcurl leaves errno 0 when it cannot create a socket: the first version of the new test returned kConnectFailed ("CHECK( http:1 == 10 )"), so 0 counts as kNoSocket. The check of a closed port expects kConnectionRefused now, which is stricter than before.

Not covered by a test: EADDRNOTAVAIL, unreachable networks and resets, which need more than loopback. A worker still counts as silent while this process cannot send.

--- a/libs/http/include/pomelomill/http/http_error.h
+++ b/libs/http/include/pomelomill/http/http_error.h
@@ -5,6 +5,7 @@
 namespace pomelomill {
 
 enum class HttpError {
+  /// No connection, for another reason than the next two.
   kConnectFailed = 1,
   kTimeout,
   /// The response ended early, or nothing marks where it ends.
@@ -16,6 +17,11 @@
   kFailed,
   /// The listening address cannot be used.
   kListenFailed,
+  /// The peer's machine answered that nothing listens at the port.
+  kConnectionRefused,
+  /// This process or its machine has no descriptor, port or memory left for a
+  /// connection. Says nothing about the peer.
+  kNoSocket,
 };
 
 const std::error_category& HttpCategory();
--- a/libs/http/src/http_error.cc
+++ b/libs/http/src/http_error.cc
@@ -26,6 +26,10 @@
         return "the transfer failed";
       case HttpError::kListenFailed:
         return "the listening address cannot be used";
+      case HttpError::kConnectionRefused:
+        return "the connection was refused";
+      case HttpError::kNoSocket:
+        return "no descriptor, port or memory is left for a connection";
     }
     return "unknown HTTP error";
   }
--- a/libs/http/src/transfer.cc
+++ b/libs/http/src/transfer.cc
@@ -1,6 +1,7 @@
 #include "transfer.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <string_view>
 #include <utility>
 
@@ -20,11 +21,30 @@
          std::string_view::npos;
 }
 
-std::error_code ErrorOf(CURLcode code) {
+/// `os_error` is the errno of the failed attempt. libcurl leaves 0 when it
+/// could not create a socket.
+std::error_code ConnectError(long os_error) {
+  switch (os_error) {
+    case ECONNREFUSED:
+      return HttpError::kConnectionRefused;
+    case 0:
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:
+      return HttpError::kNoSocket;
+    default:
+      return HttpError::kConnectFailed;
+  }
+}
+
+std::error_code ErrorOf(CURLcode code, long os_error) {
   switch (code) {
     case CURLE_OK:
       return {};
     case CURLE_COULDNT_CONNECT:
+      return ConnectError(os_error);
     case CURLE_COULDNT_RESOLVE_HOST:
       return HttpError::kConnectFailed;
     case CURLE_OPERATION_TIMEDOUT:
@@ -164,7 +184,9 @@
 HttpResult Transfer::Finish(CURLcode code) {
   HttpResult result;
   result.may_have_been_sent = MayHaveBeenSent();
-  result.error = ErrorOf(code);
+  long os_error = 0;
+  curl_easy_getinfo(handle_.get(), CURLINFO_OS_ERRNO, &os_error);
+  result.error = ErrorOf(code, os_error);
   long status = 0;
   curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
   response_.status = static_cast<int>(status);
--- a/libs/http/test/http_client_test.cc
+++ b/libs/http/test/http_client_test.cc
@@ -1,4 +1,6 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -177,10 +179,31 @@
   CHECK(timed_out.may_have_been_sent);
   server.Close();
   const HttpResult refused = Exchange(context, client, {.url = url});
-  CHECK(refused.error == HttpError::kConnectFailed);
+  CHECK(refused.error == HttpError::kConnectionRefused);
   CHECK_FALSE(refused.may_have_been_sent);
 }
 
+// Guards against a failure of this process that is taken for the end of the
+// peer's process.
+TEST_CASE("a process without descriptors does not blame the peer") {
+  asio::io_context context;
+  ScriptedServer server(context, {});
+  HttpClient client(context);
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  rlimit low = before;
+  low.rlim_cur = 128;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+  std::vector<int> taken;
+  for (int fd = dup(STDERR_FILENO); fd >= 0; fd = dup(STDERR_FILENO))
+    taken.push_back(fd);
+  const HttpResult r = Exchange(context, client, {.url = server.url()});
+  for (const int it : taken) close(it);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK(r.error == HttpError::kNoSocket);
+  CHECK_FALSE(r.may_have_been_sent);
+}
+
 // Guards against unbounded memory and header injection.
 TEST_CASE("oversize responses and malformed requests are refused") {
   asio::io_context context;
--- a/libs/jobserver/include/pomelomill/jobserver/worker_calls.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_calls.h
@@ -59,6 +59,10 @@
   /// Another worker, or another life of it, is at the address.
   kOtherLife,
   kBadAnswer,
+  /// No connection, without an answer of the worker's machine.
+  kUnreachable,
+  /// This process could not open a connection. Says nothing about the worker.
+  kNotSent,
 };
 
 const std::error_category& WorkerCategory();
--- a/libs/jobserver/src/worker_error.cc
+++ b/libs/jobserver/src/worker_error.cc
@@ -20,6 +20,10 @@
         return "another worker is at the address";
       case WorkerError::kBadAnswer:
         return "the worker's answer could not be understood";
+      case WorkerError::kUnreachable:
+        return "no connection to the worker could be established";
+      case WorkerError::kNotSent:
+        return "this process could not open a connection";
     }
     return "unknown worker error";
   }
