Renew a lease sooner when the process or the store is late

Owners lost their lease while their thread was busy with decisions or traffic, although the store answered; callers saw a pool without an owner for the rest of the lease.

A renewal was due a third of the lease after the one before was sent, however late that was. A process that takes timers and answers only each 0.8 s renews at 1.6 s and hears of it at 2.4 s of the 2.7 s that count, so one failed call ends the lease.

The next call is now earlier by what the latest was late, and the pause after a failure counts from the call, not from when the failure was noticed. The lease itself stays at 3 s, since a takeover waits for it.

Ruled out: a longer time-out than 900 ms. In virtual time answers that were there before the time-out are taken first, and an own delay of 0.8 s stays below it. Not covered: a real HTTP client that is late by more than its time-out may run the timer before it reads the answer.

--- a/libs/store/include/pomelomill/store/lease_keeper.h
+++ b/libs/store/include/pomelomill/store/lease_keeper.h
@@ -31,7 +31,8 @@
 };
 
 /// Holds one store lease: grants it, renews it at a third of its time to live,
-/// and grants a new one after it has lapsed. The lease counts as held from the
+/// sooner when the process or the store is late, and grants a new one after it
+/// has lapsed. The lease counts as held from the
 /// moment before the latest successful call was sent, for the time to live
 /// less the drift margin: the store started its own count later than that.
 class LeaseKeeper {
--- a/libs/store/src/lease_keeper.cc
+++ b/libs/store/src/lease_keeper.cc
@@ -6,6 +6,12 @@
 #include "pomelomill/store/store_error.h"
 
 namespace pomelomill {
+namespace {
+
+/// Delays below this part of the lease are those of a usual call.
+constexpr int kShareOfDelay = 20;
+
+}  // namespace
 
 class LeaseKeeper::Impl : public std::enable_shared_from_this<Impl> {
  public:
@@ -49,6 +55,7 @@
  private:
   void Call() {
     const Instant sent_at = timers_.Now();
+    if (due_at_ == Instant::min()) due_at_ = sent_at;
     auto then = [weak = weak_from_this(), sent_at,
                  round = round_](Result<LeaseId> result) {
       const auto self = weak.lock();
@@ -63,7 +70,7 @@
   }
 
   void OnResult(Instant sent_at, Result<LeaseId> result) {
-    if (!result) return OnFailure(result.error());
+    if (!result) return OnFailure(sent_at, result.error());
     const Instant now = timers_.Now();
     const bool was_held = is_held() && !is_uncertain_;
     lease_ = *std::move(result);
@@ -79,10 +86,23 @@
       if (!was_held && hooks_.on_held) hooks_.on_held(LeaseId(lease_));
     }
     if (!is_running_) return;
-    call_timer_ = At(std::max(now, sent_at + options_.ttl / 3), &Impl::Call);
+    CallAt(sent_at + options_.ttl / 3 - DelayUntil(now));
+  }
+
+  /// Time that the latest call lost on its way here: by a process that sent it
+  /// late, or by an answer that was slow or taken late. A process that is late
+  /// will be late again, so the next call is made earlier by as much.
+  Duration DelayUntil(Instant now) const {
+    const Duration delay = now - due_at_;
+    return delay < options_.ttl / kShareOfDelay ? Duration(0) : delay;
+  }
+
+  void CallAt(Instant when) {
+    due_at_ = std::max(when, timers_.Now());
+    call_timer_ = At(due_at_, &Impl::Call);
   }
 
-  void OnFailure(std::error_code ec) {
+  void OnFailure(Instant sent_at, std::error_code ec) {
     if (ec == StoreError::kLeaseLapsed && !lease_.empty()) {
       lease_ = LeaseId();
       held_until_ = Instant::min();
@@ -90,12 +110,14 @@
       is_uncertain_ = false;
       if (hooks_.on_lapsed) hooks_.on_lapsed();
       if (!is_running_) return;
-      call_timer_ = At(timers_.Now(), &Impl::Call);
+      CallAt(timers_.Now());
       return;
     }
     // The outcome of a renewal is unknown, but what it would have added is not
     // counted. A grant of unknown outcome leaves a lease that lapses unused.
-    call_timer_ = At(timers_.Now() + options_.retry_pause, &Impl::Call);
+    // The pause bounds the rate of the calls, so it counts from the call: a
+    // failure that was noticed late is not waited for again.
+    CallAt(sent_at + options_.retry_pause);
   }
 
   void Expire() {
@@ -119,6 +141,8 @@
   LeaseId lease_;
   Instant held_until_ = Instant::min();
   Instant lapsed_after_ = Instant::min();
+  /// When the latest call should have been sent.
+  Instant due_at_ = Instant::min();
   bool is_running_ = false;
   bool is_uncertain_ = false;
   std::uint64_t round_ = 0;
--- a/libs/store/test/lease_keeper_test.cc
+++ b/libs/store/test/lease_keeper_test.cc
@@ -123,6 +123,35 @@
   CHECK(f.store.leases().size() == 1);
 }
 
+// Guards against the loss of a lease by a process that is late with everything:
+// it takes timers and answers only each 0.8 s, and one of its renewals fails.
+TEST_CASE("a late process keeps its lease when a renewal fails") {
+  const LeaseKeeperOptions options{.ttl = seconds(3),
+                                   .drift_margin = milliseconds(300),
+                                   .call_timeout = milliseconds(900),
+                                   .retry_pause = milliseconds(150)};
+  // The failure meets another call each time.
+  for (int failed_round = 3; failed_round < 12; ++failed_round) {
+    CAPTURE(failed_round);
+    Fixture f;
+    LeaseKeeper keeper(f.client, f.process, options,
+                       {[&](const LeaseId&) { f.events += 'h'; },
+                        [&] { f.events += 'u'; }, [&] { f.events += 'l'; }});
+    keeper.Start();
+    f.world.Advance(milliseconds(100));
+    for (int i = 0; i < 30; ++i) {
+      f.store.set_down(i == failed_round);
+      f.process.Pause();
+      f.world.Advance(milliseconds(800));
+      f.process.Wake();
+      // Long enough for a call to reach the store, not for its answer.
+      f.world.Advance(Duration(1));
+    }
+    CHECK(f.events == "h");
+    CHECK(f.store.leases().size() == 1);
+  }
+}
+
 // Guards against the one error that must not happen: a holder that believes in
 // its lease when the store has ended it, whatever the clock drift within the
 // margin, outages, latency and pauses.
