Bound the work of one dispatch plan

Cause: a plan ranked all jobs, looked for each ready step at all workers, at all tasks of a step for each worker, at each task on each worker to find stops, and at all ended jobs, which are kept for minutes.

- PlacementSearch lists the workers that may take tasks once in a plan and remembers the largest room and the sizes and labels that found none.
Tasks that need cores are not compared with workers that have none free.
- Plans, load() and Waiting() look at jobs that have not ended, and of these rank only those with a ready step that may fit; a heap orders no more of them than are placed.
A full window of starts ends a plan before that.
- Ready steps, chain and remaining work are kept in the job until it changes; the asan builds compare them with the plain computation at each use.
- Stops, long-running tasks of a worker and the first task of a step that waits are kept up to date instead of searched.
- DispatchPlan::examined counts jobs, tasks and workers looked at.

The order of jobs differs in one point: the expected run time of a queue follows its mean in steps of 5%, so that not every end of a task changes the rank of all jobs.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -85,6 +85,9 @@
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::optional<Instant> again_at;
+  /// Jobs, tasks and workers that were looked at. One plan is the owner's
+  /// longest decision and delays the renewal of its lease.
+  std::uint64_t examined = 0;
 };
 
 /// Changes of jobs that must be stored together, before the ends that caused
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -61,7 +61,12 @@
   job.restored = added.progress.tasks;
   job.has_started = job.phase != JobPhase::kQueued;
   job.accepted_at = now;
-  if (job.is_final()) job.ended_at = now;
+  waiting_.reset();
+  if (job.is_final()) {
+    job.ended_at = now;
+  } else {
+    live_.emplace(job.id, &job);
+  }
   Note("job-known", {.job = job.id}, 0, {},
        std::string(ToText(job.phase)) +
            (job.is_inherited ? " inherited" : " new"));
@@ -76,6 +81,7 @@
           spec.first_due_ms + job.next_occurrence * ToMillis(spec.interval);
       if (wall_ms < due) return;
     }
+    DropDerived(job);
     const std::uint32_t number = job.next_occurrence++;
     OccurrenceState state = MakeOccurrence(job, number);
     if (state.done_steps == state.steps.size()) {
@@ -95,11 +101,21 @@
   EndJob(*job, JobPhase::kCancelled, now, wall_ms);
 }
 
-void Dispatcher::Impl::MarkDirty(ActiveJob& job) { dirty_.insert(job.id); }
+void Dispatcher::Impl::MarkDirty(ActiveJob& job) {
+  dirty_.insert(job.id);
+  DropDerived(job);
+}
+
+void Dispatcher::Impl::DropDerived(ActiveJob& job) {
+  job.ready.reset();
+  job.rank_inputs.reset();
+  waiting_.reset();
+}
 
 void Dispatcher::Impl::EndJob(ActiveJob& job, JobPhase phase, Instant now,
                               WallMs wall_ms) {
   job.phase = phase;
+  live_.erase(job.id);
   job.ended_at = now;
   job.ended_wall_ms = wall_ms;
   MarkDirty(job);
@@ -134,7 +150,10 @@
   task.started_at = Instant{};
   workers_.Take(worker, key, step);
   ++job.placed;
-  ++job.occurrences.at(key.occurrence).steps[key.step].placed;
+  StepState& state = job.occurrences.at(key.occurrence).steps[key.step];
+  ++state.placed;
+  if (state.waiting() == 0) job.ready.reset();
+  if (!job.has_started) waiting_.reset();
   job.has_started = true;
 }
 
@@ -142,10 +161,14 @@
                                TaskState& task) {
   if (!task.is_placed()) return;
   workers_.Release(task.worker, key, job.spec->steps[key.step]);
+  if (task.phase == RunPhase::kStopping) stopping_.erase({task.worker, key});
   task.phase = RunPhase::kWaiting;
   task.worker = {};
   --job.placed;
-  --job.occurrences.at(key.occurrence).steps[key.step].placed;
+  StepState& state = job.occurrences.at(key.occurrence).steps[key.step];
+  --state.placed;
+  state.first_waiting = std::min(state.first_waiting, key.index);
+  if (state.waiting() == 1) job.ready.reset();
 }
 
 void Dispatcher::Impl::RequestStop(const TaskKey& key, TaskState& task,
@@ -153,6 +176,7 @@
   if (task.phase == RunPhase::kStopping) return;
   Note("task-stop", key, task.run, task.worker, reason);
   task.phase = RunPhase::kStopping;
+  stopping_.emplace(task.worker, key);
   task.is_stop_accepted = false;
   task.stop_again_at = Instant{};
 }
@@ -211,24 +235,22 @@
 }
 
 std::uint32_t Dispatcher::Impl::Waiting(const QueueId& queue) const {
-  std::uint32_t n = 0;
-  for (const auto& [id, job] : jobs_) {
-    if (job.queue != queue || job.is_final() || job.has_started) continue;
-    if (!job.spec->is_timed() || !job.occurrences.empty()) ++n;
+  if (!waiting_) {
+    waiting_.emplace();
+    for (const auto& [id, job] : live_) {
+      if (job->has_started) continue;
+      if (!job->spec->is_timed() || !job->occurrences.empty())
+        ++(*waiting_)[job->queue];
+    }
   }
-  return n;
+  const auto it = waiting_->find(queue);
+  return it == waiting_->end() ? 0 : it->second;
 }
 
 bool Dispatcher::Impl::IsLight(const PoolWorker& worker) const {
-  if (worker.used.cpu_millis * options_.light_divisor >
-      worker.spec.capacity.cpu_millis)
-    return false;
-  return std::none_of(
-      worker.tasks.begin(), worker.tasks.end(), [&](const TaskKey& key) {
-        const auto job = jobs_.find(key.job);
-        return job == jobs_.end() ||
-               job->second.spec->steps[key.step].is_long_running;
-      });
+  return worker.long_running_tasks == 0 &&
+         worker.used.cpu_millis * options_.light_divisor <=
+             worker.spec.capacity.cpu_millis;
 }
 
 DispatchLoad Dispatcher::Impl::load() const {
@@ -246,17 +268,12 @@
       load.light.push_back({id, worker.used.cpu_millis});
     }
   }
-  for (const auto& [id, job] : jobs_) {
-    if (job.is_final()) continue;
-    for (const auto& [number, occurrence] : job.occurrences) {
-      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-        const StepState& step = occurrence.steps[s];
-        if (step.done + step.placed == step.tasks.size()) continue;
-        if (!IsReady(job, occurrence, s)) continue;
-        load.waiting_cpu +=
-            DominantCpu(CountedSize(job.spec->steps[s]), capacity) *
-            (step.tasks.size() - step.done - step.placed);
-      }
+  for (const auto& [id, job] : live_) {
+    for (const ReadyStep& it : ReadySteps(*job)) {
+      const StepState& step = job->occurrences.at(it.occurrence).steps[it.step];
+      load.waiting_cpu +=
+          DominantCpu(CountedSize(job->spec->steps[it.step]), capacity) *
+          step.waiting();
     }
   }
   return load;
@@ -353,11 +370,7 @@
 
 DispatchLoad Dispatcher::load() const { return impl_->load(); }
 
-std::size_t Dispatcher::active_jobs() const {
-  return static_cast<std::size_t>(
-      std::count_if(impl_->jobs().begin(), impl_->jobs().end(),
-                    [](const auto& it) { return !it.second.is_final(); }));
-}
+std::size_t Dispatcher::active_jobs() const { return impl_->live_jobs(); }
 
 std::size_t Dispatcher::running_tasks() const {
   std::size_t n = 0;
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -2,11 +2,13 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "job_order.h"
 #include "job_table.h"
+#include "placement.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "worker_table.h"
 
@@ -56,7 +58,7 @@
   bool IsLight(const PoolWorker& worker) const;
   std::uint32_t Waiting(const QueueId& queue) const;
 
-  const std::map<JobId, ActiveJob>& jobs() const { return jobs_; }
+  std::size_t live_jobs() const { return live_.size(); }
   const WorkerTable& workers() const { return workers_; }
   bool has_deferred_starts() const { return has_deferred_starts_; }
   bool is_settled() const { return unsettled_.empty(); }
@@ -68,7 +70,10 @@
   void Note(const char* event, const TaskKey& key, std::uint32_t run,
             const WorkerId& worker, std::string detail = {});
 
+  /// The job's progress must be stored; also drops what is derived from it.
   void MarkDirty(ActiveJob& job);
+  /// Drops what is derived from the job's tasks.
+  void DropDerived(ActiveJob& job);
   /// Moves the job to a final phase; its tasks are stopped by the next plan.
   void EndJob(ActiveJob& job, JobPhase phase, Instant now, WallMs wall_ms);
   /// Frees the tasks of a final job once none of them is placed.
@@ -100,7 +105,7 @@
   /// Whether a long-running task may be taken away: its step has enough others
   /// at work, and another worker has room.
   bool MayDisrupt(ActiveJob& job, const TaskKey& key, bool is_leaving,
-                  Instant now);
+                  Instant now, DispatchPlan& plan);
   void PlanStops(Instant now, DispatchPlan& plan);
   void PlanStarts(Instant now, DispatchPlan& plan);
   /// Whether so many more starts may be sent; any number when none is under
@@ -111,6 +116,11 @@
                 Instant now, DispatchPlan& plan);
   bool PlanGang(ActiveJob& job, std::uint32_t occurrence, std::uint32_t step,
                 Instant now, DispatchPlan& plan);
+  /// The search of the plan that is being made.
+  PlacementSearch& Search(Instant now, DispatchPlan& plan);
+  const RankInputs& RankInputsOf(ActiveJob& job);
+  /// Starts are left out because the window is in use.
+  void DeferStarts(Instant now, DispatchPlan& plan);
   bool MayStart(const ActiveJob& job, const TaskState& task, Instant now,
                 DispatchPlan& plan) const;
   void Start(ActiveJob& job, const TaskKey& key, TaskState& task,
@@ -124,6 +134,13 @@
   std::map<QueueId, QueuePolicy> policies_;
   RunTimes run_times_;
   std::map<JobId, ActiveJob> jobs_;
+  /// Those whose phase is not final: ended jobs are kept for minutes and would
+  /// be most of what a plan looks at.
+  std::map<JobId, ActiveJob*> live_;
+  /// What Waiting() returns, until a job starts, ends or is added.
+  mutable std::optional<std::map<QueueId, std::uint32_t>> waiting_;
+  /// Tasks whose stop was requested and that are still placed.
+  std::set<std::pair<WorkerId, TaskKey>> stopping_;
   /// Workers that are being emptied, since when.
   std::map<WorkerId, Instant> closed_;
   WorkerTable workers_;
@@ -134,6 +151,8 @@
   /// Starts that were sent and whose outcome is open.
   std::set<std::pair<TaskKey, std::uint32_t>> under_way_;
   bool has_deferred_starts_ = false;
+  /// While a plan is being made.
+  std::optional<PlacementSearch> search_;
   std::set<JobId> dirty_;
   std::uint64_t last_batch_ = 0;
   std::uint64_t stored_batch_ = 0;
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <cassert>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "dispatcher_impl.h"
@@ -23,28 +26,33 @@
 DispatchPlan Dispatcher::Impl::Plan(Instant now, WallMs wall_ms,
                                     bool may_start) {
   DispatchPlan plan;
-  for (auto& [id, job] : jobs_) {
-    if (job.is_final() || !job.spec->is_timed()) continue;
-    CreateDueOccurrences(job, wall_ms);
-    if (job.next_occurrence < job.spec->runs()) {
+  search_.reset();
+  plan.examined += live_.size();
+  for (const auto& [id, job] : live_) {
+    if (!job->spec->is_timed()) continue;
+    CreateDueOccurrences(*job, wall_ms);
+    if (job->next_occurrence < job->spec->runs()) {
       const std::int64_t due_ms =
-          job.spec->first_due_ms +
-          job.next_occurrence * ToMillis(job.spec->interval);
+          job->spec->first_due_ms +
+          job->next_occurrence * ToMillis(job->spec->interval);
       WakeAt(plan, now + std::chrono::milliseconds(due_ms - wall_ms));
     }
   }
   PlanEvacuations(now, plan);
   PlanStops(now, plan);
   if (may_start) PlanStarts(now, plan);
+  if (search_) plan.examined += search_->examined();
+  search_.reset();
   return plan;
 }
 
 bool Dispatcher::Impl::MayDisrupt(ActiveJob& job, const TaskKey& key,
-                                  bool is_leaving, Instant now) {
+                                  bool is_leaving, Instant now,
+                                  DispatchPlan& plan) {
   const StepSpec& spec = job.spec->steps[key.step];
   const StepState& step = job.occurrences.at(key.occurrence).steps[key.step];
   // Elsewhere; this worker takes no more tasks.
-  if (ChooseWorker(workers_, spec, step, step.tasks[key.index], now) == nullptr)
+  if (Search(now, plan).Choose(spec, step, step.tasks[key.index]) == nullptr)
     return false;
   if (is_leaving) return true;
   std::uint32_t away = 0;
@@ -62,6 +70,7 @@
 }
 
 void Dispatcher::Impl::PlanEvacuations(Instant now, DispatchPlan& plan) {
+  plan.examined += workers_.all().size();
   for (auto& [id, worker] : workers_.all()) {
     if (!worker.is_closed && !worker.spec.is_draining) continue;
     const auto closed = closed_.find(id);
@@ -70,7 +79,7 @@
       TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
       if (task == nullptr || task->phase != RunPhase::kRunning) continue;
       if (job->spec->steps[key.step].is_long_running) {
-        if (MayDisrupt(*job, key, worker.spec.is_draining, now))
+        if (MayDisrupt(*job, key, worker.spec.is_draining, now, plan))
           RequestStop(key, *task, "evacuation");
         continue;
       }
@@ -87,63 +96,83 @@
 
 void Dispatcher::Impl::PlanStops(Instant now, DispatchPlan& plan) {
   plan.stops = std::exchange(stray_stops_, {});
-  for (auto& [id, worker] : workers_.all()) {
-    for (const TaskKey& key : worker.tasks) {
-      ActiveJob* const job = FindJob(key.job);
-      TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
-      if (task == nullptr || task->phase != RunPhase::kStopping ||
-          task->is_stop_accepted)
-        continue;
-      if (task->stop_again_at > now) {
-        WakeAt(plan, task->stop_again_at);
-        continue;
-      }
-      // Until the answer arrives; the answer sets an earlier time.
-      task->stop_again_at = now + std::chrono::hours(1);
-      plan.stops.push_back({id, key, task->run});
+  plan.examined += stopping_.size();
+  for (const auto& [id, key] : stopping_) {
+    ActiveJob* const job = FindJob(key.job);
+    TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
+    if (task == nullptr || task->is_stop_accepted) continue;
+    if (task->stop_again_at > now) {
+      WakeAt(plan, task->stop_again_at);
+      continue;
     }
+    // Until the answer arrives; the answer sets an earlier time.
+    task->stop_again_at = now + std::chrono::hours(1);
+    plan.stops.push_back({id, key, task->run});
   }
 }
 
+PlacementSearch& Dispatcher::Impl::Search(Instant now, DispatchPlan& plan) {
+  if (!search_) {
+    search_.emplace(workers_, now);
+    if (search_->unblocked_at()) WakeAt(plan, *search_->unblocked_at());
+  }
+  return *search_;
+}
+
+const RankInputs& Dispatcher::Impl::RankInputsOf(ActiveJob& job) {
+  const Duration seen = run_times_.Expected(job.queue);
+  if (!job.rank_inputs || job.rank_inputs->seen != seen)
+    job.rank_inputs = pomelomill::RankInputsOf(job, seen);
+  assert(*job.rank_inputs == pomelomill::RankInputsOf(job, seen));
+  return *job.rank_inputs;
+}
+
 bool Dispatcher::Impl::HasWindow(std::size_t starts) const {
   return under_way_.empty() ||
          under_way_.size() + starts <= options_.max_starts_under_way;
 }
 
+void Dispatcher::Impl::DeferStarts(Instant now, DispatchPlan& plan) {
+  // The rest is planned when answers arrive, in the order of that time.
+  has_deferred_starts_ = true;
+  WakeAt(plan, now + options_.start_again_after);
+}
+
 void Dispatcher::Impl::PlanStarts(Instant now, DispatchPlan& plan) {
   has_deferred_starts_ = false;
-  for (const auto& [id, worker] : workers_.all()) {
-    if (worker.is_listed && worker.blocked_until > now)
-      WakeAt(plan, worker.blocked_until);
+  std::vector<ActiveJob*> ready;
+  for (const auto& [id, job] : live_) {
+    if (job->is_inherited && !unsettled_.empty()) continue;
+    if (!ReadySteps(*job).empty()) ready.push_back(job);
   }
-  std::vector<ActiveJob*> order;
-  for (auto& [id, job] : jobs_) {
-    if (!job.is_final() && !job.occurrences.empty()) order.push_back(&job);
-  }
-  std::vector<std::pair<JobRank, ActiveJob*>> ranked;
-  ranked.reserve(order.size());
-  for (ActiveJob* const it : order) {
-    ranked.emplace_back(
-        RankJob(*it, PolicyOf(*it), run_times_.Expected(it->queue), now), it);
+  if (ready.empty()) return;
+  if (!HasWindow(1)) return DeferStarts(now, plan);
+  PlacementSearch& search = Search(now, plan);
+  // Equal ranks keep the order of the ids.
+  using Entry = std::tuple<JobRank, std::size_t, ActiveJob*>;
+  std::vector<Entry> queue;
+  for (ActiveJob* const job : ready) {
+    // Room only shrinks while a plan is made.
+    const auto& steps = ReadySteps(*job);
+    if (std::any_of(steps.begin(), steps.end(), [&](const ReadyStep& it) {
+          return search.MayFit(job->spec->steps[it.step]);
+        })) {
+      queue.emplace_back(RankJob(*job, RankInputsOf(*job), PolicyOf(*job), now),
+                         queue.size(), job);
+    }
   }
-  std::stable_sort(
-      ranked.begin(), ranked.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [rank, job] : ranked) {
-    for (auto& [number, occurrence] : job->occurrences) {
-      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-        const StepState& step = occurrence.steps[s];
-        if (step.done + step.placed == step.tasks.size()) continue;
-        if (!IsReady(*job, occurrence, s)) continue;
-        const bool has_window = job->spec->steps[s].is_gang
-                                    ? PlanGang(*job, number, s, now, plan)
-                                    : PlanStep(*job, number, s, now, plan);
-        if (has_window) continue;
-        // The rest is planned when answers arrive, in the order of that time.
-        has_deferred_starts_ = true;
-        WakeAt(plan, now + options_.start_again_after);
-        return;
-      }
+  // Most plans place tasks of few jobs: a heap orders no more than those.
+  std::make_heap(queue.begin(), queue.end(), std::greater<>());
+  for (; !queue.empty(); queue.pop_back()) {
+    std::pop_heap(queue.begin(), queue.end(), std::greater<>());
+    ActiveJob& job = *std::get<ActiveJob*>(queue.back());
+    // Placing tasks changes the job's own list.
+    const std::vector<ReadyStep> steps = ReadySteps(job);
+    for (const auto& [occurrence, step] : steps) {
+      const bool has_window = job.spec->steps[step].is_gang
+                                  ? PlanGang(job, occurrence, step, now, plan)
+                                  : PlanStep(job, occurrence, step, now, plan);
+      if (!has_window) return DeferStarts(now, plan);
     }
   }
 }
@@ -183,10 +212,17 @@
                                 DispatchPlan& plan) {
   const StepSpec& spec = job.spec->steps[step];
   StepState& state = job.occurrences.at(occurrence).steps[step];
-  for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
+  PlacementSearch& search = Search(now, plan);
+  if (!search.MayFit(spec)) return true;
+  std::uint32_t& first = state.first_waiting;
+  while (first < state.tasks.size() &&
+         state.tasks[first].phase != RunPhase::kWaiting)
+    ++first;
+  for (std::uint32_t i = first; i < state.tasks.size(); ++i) {
+    ++plan.examined;
     TaskState& task = state.tasks[i];
     if (!MayStart(job, task, now, plan)) continue;
-    PoolWorker* const worker = ChooseWorker(workers_, spec, state, task, now);
+    PoolWorker* const worker = search.Choose(spec, state, task);
     if (worker == nullptr) return true;
     if (!HasWindow(1)) return false;
     const std::uint32_t run = std::max(next_run_, task.run + 1);
@@ -200,6 +236,9 @@
                                 DispatchPlan& plan) {
   const StepSpec& spec = job.spec->steps[step];
   StepState& state = job.occurrences.at(occurrence).steps[step];
+  PlacementSearch& search = Search(now, plan);
+  if (!search.MayFitAll(spec, state.tasks.size())) return true;
+  plan.examined += state.tasks.size();
   std::uint32_t run = next_run_;
   for (const TaskState& it : state.tasks) {
     if (!MayStart(job, it, now, plan)) return true;
@@ -208,10 +247,11 @@
   // All members resume from one checkpoint, whichever member wrote it.
   std::string saved;
   for (const TaskState& it : state.tasks) saved = std::max(saved, it.saved);
+  search.BeginGang();
   std::vector<std::uint32_t> placed;
   for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
     TaskState& task = state.tasks[i];
-    PoolWorker* const worker = ChooseWorker(workers_, spec, state, task, now);
+    PoolWorker* const worker = search.Choose(spec, state, task);
     if (worker == nullptr) break;
     Place(job, {job.id, occurrence, step, i}, task, *worker, run,
           RunPhase::kStarting);
@@ -219,6 +259,7 @@
   }
   const bool is_whole = placed.size() == state.tasks.size();
   const bool has_window = !is_whole || HasWindow(placed.size());
+  if (!is_whole || !has_window) search.RollBackGang();
   for (const std::uint32_t i : placed) {
     TaskState& task = state.tasks[i];
     const TaskKey key{job.id, occurrence, step, i};
--- a/libs/dispatch/src/job_order.cc
+++ b/libs/dispatch/src/job_order.cc
@@ -7,6 +7,8 @@
 
 /// Weight of the latest run time; the mean covers about the last 30 tasks.
 constexpr double kLatestWeight = 0.03;
+/// The expected run time moves when the mean is off by one part in so many.
+constexpr int kExpectedParts = 20;
 /// A job is of little use after its objective, and of none after this many
 /// times the objective.
 constexpr int kWorthlessFactor = 3;
@@ -52,15 +54,19 @@
 }  // namespace
 
 void RunTimes::Add(const QueueId& queue, Duration run_time) {
-  const auto [it, is_new] = means_.emplace(queue, run_time);
+  const auto [it, is_new] = means_.emplace(queue, Mean{run_time, run_time});
   if (is_new) return;
-  it->second += std::chrono::duration_cast<Duration>((run_time - it->second) *
+  Mean& mean = it->second;
+  mean.exact += std::chrono::duration_cast<Duration>((run_time - mean.exact) *
                                                      kLatestWeight);
+  if (std::chrono::abs(mean.exact - mean.expected) >
+      mean.expected / kExpectedParts)
+    mean.expected = mean.exact;
 }
 
 Duration RunTimes::Expected(const QueueId& queue) const {
   const auto it = means_.find(queue);
-  return it == means_.end() ? Duration(0) : it->second;
+  return it == means_.end() ? Duration(0) : it->second.expected;
 }
 
 Duration RemainingChain(const ActiveJob& job, Duration seen) {
@@ -75,8 +81,16 @@
   return longest;
 }
 
-JobRank RankJob(const ActiveJob& job, const QueuePolicy& policy, Duration seen,
-                Instant now) {
+RankInputs RankInputsOf(const ActiveJob& job, Duration seen) {
+  return {
+      .seen = seen,
+      .whole_chain = Chain(*job.spec, seen, [](std::size_t) { return false; }),
+      .remaining_chain = RemainingChain(job, seen),
+      .remaining_work = RemainingWork(job, seen)};
+}
+
+JobRank RankJob(const ActiveJob& job, const RankInputs& inputs,
+                const QueuePolicy& policy, Instant now) {
   JobRank rank;
   rank.priority = policy.priority;
   const auto key_of = [](Instant when) {
@@ -87,12 +101,10 @@
     rank.key = key_of(job.accepted_at);
     return rank;
   }
-  const Duration chain =
-      Chain(*job.spec, seen, [](std::size_t) { return false; });
   const Duration objective =
       policy.target_latency +
-      std::chrono::duration_cast<Duration>(chain * policy.stretch);
-  const Duration left = RemainingChain(job, seen);
+      std::chrono::duration_cast<Duration>(inputs.whole_chain * policy.stretch);
+  const Duration left = inputs.remaining_chain;
   const Instant due = job.accepted_at + objective;
   const Instant useless = job.accepted_at + kWorthlessFactor * objective;
   if (now + left > useless) {
@@ -103,7 +115,7 @@
     rank.key = key_of(useless);
   } else if (now + left <= due) {
     rank.job_class = JobRank::Class::kInTime;
-    rank.key = RemainingWork(job, seen);
+    rank.key = inputs.remaining_work;
   } else {
     rank.job_class = JobRank::Class::kLate;
     rank.key = key_of(useless);
@@ -111,4 +123,9 @@
   return rank;
 }
 
+JobRank RankJob(const ActiveJob& job, const QueuePolicy& policy, Duration seen,
+                Instant now) {
+  return RankJob(job, RankInputsOf(job, seen), policy, now);
+}
+
 }  // namespace pomelomill
--- a/libs/dispatch/src/job_order.h
+++ b/libs/dispatch/src/job_order.h
@@ -13,11 +13,18 @@
 class RunTimes {
  public:
   void Add(const QueueId& queue, Duration run_time);
-  /// Nothing seen yet: zero.
+  /// Nothing seen yet: zero. Follows the mean in steps of a twentieth, so that
+  /// what is derived from it does not change with every task; callers'
+  /// estimates are off by far more.
   Duration Expected(const QueueId& queue) const;
 
  private:
-  std::map<QueueId, Duration> means_;
+  struct Mean {
+    Duration exact{};
+    Duration expected{};
+  };
+
+  std::map<QueueId, Mean> means_;
 };
 
 /// The longest chain through the steps that are not finished; `seen` is the
@@ -51,6 +58,10 @@
   auto operator<=>(const JobRank&) const = default;
 };
 
+RankInputs RankInputsOf(const ActiveJob& job, Duration seen);
+
+JobRank RankJob(const ActiveJob& job, const RankInputs& inputs,
+                const QueuePolicy& policy, Instant now);
 JobRank RankJob(const ActiveJob& job, const QueuePolicy& policy, Duration seen,
                 Instant now);
 
--- a/libs/dispatch/src/job_table.cc
+++ b/libs/dispatch/src/job_table.cc
@@ -1,6 +1,23 @@
 #include "job_table.h"
 
+#include <algorithm>
+#include <cassert>
+
 namespace pomelomill {
+namespace {
+
+std::vector<ReadyStep> FindReadySteps(const ActiveJob& job) {
+  std::vector<ReadyStep> ready;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].waiting() > 0 && IsReady(job, occurrence, s))
+        ready.push_back({number, s});
+    }
+  }
+  return ready;
+}
+
+}  // namespace
 
 OccurrenceState MakeOccurrence(const ActiveJob& job, std::uint32_t occurrence) {
   OccurrenceState state;
@@ -40,6 +57,12 @@
   });
 }
 
+const std::vector<ReadyStep>& ReadySteps(ActiveJob& job) {
+  if (!job.ready) job.ready = FindReadySteps(job);
+  assert(*job.ready == FindReadySteps(job));
+  return *job.ready;
+}
+
 JobProgress ProgressOf(const ActiveJob& job) {
   JobProgress progress;
   progress.phase = job.phase;
--- a/libs/dispatch/src/job_table.h
+++ b/libs/dispatch/src/job_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,8 +55,11 @@
   std::vector<TaskState> tasks;
   std::uint32_t done = 0;
   std::uint32_t placed = 0;
+  /// No task before this one waits.
+  std::uint32_t first_waiting = 0;
 
   bool is_done() const { return done == tasks.size(); }
+  std::size_t waiting() const { return tasks.size() - done - placed; }
 };
 
 struct OccurrenceState {
@@ -63,6 +67,25 @@
   std::uint32_t done_steps = 0;
 };
 
+/// A step with tasks that wait, all of whose predecessors are finished.
+struct ReadyStep {
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  bool operator==(const ReadyStep&) const = default;
+};
+
+/// What the rank of a job follows from besides the time. `seen` is the mean
+/// run time for which the other values hold.
+struct RankInputs {
+  Duration seen{};
+  Duration whole_chain{};
+  Duration remaining_chain{};
+  std::int64_t remaining_work = 0;
+
+  bool operator==(const RankInputs&) const = default;
+};
+
 struct ActiveJob {
   JobId id;
   QueueId queue;
@@ -83,6 +106,9 @@
   std::uint32_t placed = 0;
   /// Tasks that a previous owner reported, of occurrences not created yet.
   std::vector<JobProgress::Task> restored;
+  /// Derived from the tasks when needed; dropped when a task changes.
+  std::optional<std::vector<ReadyStep>> ready;
+  std::optional<RankInputs> rank_inputs;
 
   bool is_final() const { return IsFinal(phase); }
 };
@@ -97,6 +123,9 @@
 bool IsReady(const ActiveJob& job, const OccurrenceState& occurrence,
              std::size_t step);
 
+/// In the order of occurrences and steps; kept in the job.
+const std::vector<ReadyStep>& ReadySteps(ActiveJob& job);
+
 JobProgress ProgressOf(const ActiveJob& job);
 
 }  // namespace pomelomill
--- a/libs/dispatch/src/worker_table.cc
+++ b/libs/dispatch/src/worker_table.cc
@@ -47,6 +47,7 @@
 void WorkerTable::Take(PoolWorker& worker, const TaskKey& key,
                        const StepSpec& step) {
   if (!worker.tasks.insert(key).second) return;
+  worker.long_running_tasks += step.is_long_running ? 1 : 0;
   const TaskSize size = CountedSize(step);
   worker.used.cpu_millis += size.cpu_millis;
   worker.used.memory_mb += size.memory_mb;
@@ -57,6 +58,7 @@
                           const StepSpec& step) {
   PoolWorker* const worker = Find(id);
   if (worker == nullptr || worker->tasks.erase(key) == 0) return;
+  Subtract(worker->long_running_tasks, step.is_long_running ? 1 : 0);
   const TaskSize size = CountedSize(step);
   Subtract(worker->used.cpu_millis, size.cpu_millis);
   Subtract(worker->used.memory_mb, size.memory_mb);
--- a/libs/dispatch/src/worker_table.h
+++ b/libs/dispatch/src/worker_table.h
@@ -23,6 +23,8 @@
   Instant reported_at{};
   TaskSize used;
   std::set<TaskKey> tasks;
+  /// Of them.
+  std::uint32_t long_running_tasks = 0;
   /// Listed as running there, but of no job that is known: their sizes are
   /// unknown, so nothing is started beside them.
   std::set<std::pair<TaskKey, std::uint32_t>> strangers;
