Let a slow owner acknowledge ends and doubt itself before its workers

An owner that handled answers 0.35 s late acknowledged nothing: an end was acknowledged only within 0.3 s of the moment at which the worker was certainly in that life. Each answer repeated all ends, and the owner asked again without a pause, so its load grew with its delay. An answer or a time-out that it handled 1.2 s late made the worker silent, whether or not it had answered in time.

- Ends are also acknowledged when nothing can have run in a later life: no start was under way as the call was sent whose answer proves the life, and none was sent since.
An order without an answer, and those of earlier owners, count as under way for 10 s.
The 0.3 s rule stays for all else.
- Ends that wait 3 s hold back starts on their worker until the next such answer.
The dispatcher plans no starts there meanwhile.
- After an outcome that is late by this process's own delay the link asks once more, without extending the lease, without an acknowledgement and without starts.
Only the second outcome counts; a refusal, and a lease that has certainly lapsed, count at once.

There is no test of a gang on a worker whose starts are held back.

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -19,12 +19,18 @@
   /// Pause after a failed call, and while ends wait for the store.
   Duration retry_pause = std::chrono::milliseconds(100);
   Duration unstored_pause = std::chrono::milliseconds(100);
-  /// An answer that is handled this long after the wait of its call was over
-  /// counts as none.
+  /// An outcome that is handled this long after the wait of its call was over
+  /// says more about this process than about the worker.
   Duration stale_after = std::chrono::milliseconds(1200);
-  /// Ends are acknowledged only this long after the worker certainly lived: a
+  /// Ends are acknowledged this long after the worker certainly lived: a
   /// process cannot have ended, started and run a task again within this time.
+  /// Later only if the worker has had nothing to run in a next life.
   Duration same_life = std::chrono::milliseconds(300);
+  /// An order without an answer, of this owner or an earlier one, may be
+  /// carried out for this long.
+  Duration late_orders = std::chrono::seconds(10);
+  /// Ends that wait this long for their acknowledgement hold back starts.
+  Duration ack_patience = std::chrono::seconds(3);
   /// Pause between calls to a worker that is lost, which may come back.
   Duration lost_pause = std::chrono::milliseconds(700);
   /// Relative error of the worker's clock: the platform allows 2%.
@@ -68,8 +74,12 @@
   const WorkerAddress& address() const;
   /// The deadline to send with an order; nothing while the clock is unknown.
   std::optional<std::int64_t> order_deadline_ms() const;
-  /// An order with that deadline was sent; the worker may honour it.
-  void NoteDeadline(std::int64_t deadline_ms);
+  /// A start with that deadline is sent. Returns what to call when its outcome
+  /// is known, with false when the order may still be carried out.
+  std::function<void(bool is_certain)> NoteStart(std::int64_t deadline_ms);
+  /// False while starts would be lost or would keep ends from being
+  /// acknowledged; none may be sent then.
+  bool may_start() const;
   bool is_gone() const;
 
  private:
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -29,7 +29,6 @@
 /// Run numbers that one owner may use before it meets those of the next. A
 /// task that is started this often under one owner fails long before.
 constexpr std::uint32_t kRunsOfOwner = 100'000;
-
 /// Ends in one report that show that acknowledgements do not keep up: a worker
 /// ends some ten tasks a second.
 constexpr std::size_t kLongBacklog = 50;
@@ -386,6 +385,9 @@
     if (is_loaded_ && !is_releasing_) {
       if (MayOrder()) {
         const bool may_start = timers_.Now() < hooks_.start_limit();
+        // A start that is refused only by Send would leave its gang in part.
+        for (const auto& [id, link] : links_)
+          if (!link->may_start()) dispatcher_->OnWorkerSilent(id);
         const Instant began = timers_.Now();
         const DispatchPlan plan =
             dispatcher_->Plan(began, hooks_.wall_ms(), may_start);
@@ -414,7 +416,7 @@
 
   void Send(const StartOrder& order) {
     const auto it = links_.find(order.worker);
-    const auto deadline = it == links_.end() || it->second->is_gone()
+    const auto deadline = it == links_.end() || !it->second->may_start()
                               ? std::nullopt
                               : it->second->order_deadline_ms();
     if (!deadline) {
@@ -422,24 +424,24 @@
                            StartOutcome::kUnhealthy, 0, timers_.Now());
       return PlanSoon();
     }
-    it->second->NoteDeadline(*deadline);
-    StartCall call;
-    call.key = order.key;
-    call.run = order.run;
-    call.payload = &order.spec->payload;
-    call.saved = order.saved;
-    call.token = token_;
-    call.deadline_ms = *deadline;
+    const auto answered = it->second->NoteStart(*deadline);
+    const StartCall call{.key = order.key,
+                         .run = order.run,
+                         .payload = &order.spec->payload,
+                         .saved = order.saved,
+                         .token = token_,
+                         .deadline_ms = *deadline};
     platform_.workers.start(
         it->second->address(), call,
-        [weak = weak_from_this(), worker = order.worker, key = order.key,
-         run = order.run, spec = order.spec](const StartAnswer& answer) {
+        [weak = weak_from_this(), order, answered](const StartAnswer& answer) {
+          answered(answer.outcome != StartOutcome::kUnknown);
           const auto self = weak.lock();
           if (self == nullptr || self->is_halted_) return;
           if (answer.outcome == StartOutcome::kFenced)
             return self->Lose("a worker has seen a higher token");
-          self->dispatcher_->OnStart(worker, key, run, answer.outcome,
-                                     answer.clock_ms, self->timers_.Now());
+          self->dispatcher_->OnStart(order.worker, order.key, order.run,
+                                     answer.outcome, answer.clock_ms,
+                                     self->timers_.Now());
           if (answer.outcome != StartOutcome::kStarted) self->PlanSoon();
         });
   }
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -13,6 +15,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// A link whose calls are answered by the test.
 class LinkFixture {
@@ -25,8 +28,8 @@
     };
     WorkerLinkHooks hooks;
     hooks.on_report = [](const WorkerReport&) {};
-    hooks.on_silent = [](std::error_code) {};
-    hooks.on_gone = [](const char*) {};
+    hooks.on_silent = [this](std::error_code) { ++silences; };
+    hooks.on_gone = [this](const char*) { ++losses; };
     hooks.on_fenced = [] {};
     hooks.ack_limit = [this] { return ack_limit; };
     hooks.has_unstored_ends = [this] { return has_unstored_ends; };
@@ -44,7 +47,14 @@
     done(WorkerReport{.clock_ms = clock_ms, .born_ms = born_ms});
   }
 
+  void Fail(std::error_code ec) {
+    auto done = std::move(done_);
+    done(tl::unexpected(ec));
+  }
+
   VirtualTimerService timers;
+  int silences = 0;
+  int losses = 0;
   std::uint64_t ack_limit = 0;
   bool has_unstored_ends = false;
   std::vector<RenewCall> sent;
@@ -55,8 +65,155 @@
   std::function<void(Result<WorkerReport>)> done_;
 };
 
+/// A worker that ends ten tasks a second, and an owner that handles each answer
+/// 0.35 s after it has arrived.
+class SlowOwner {
+ public:
+  SlowOwner() {
+    calls_.renew = [this](const WorkerAddress&, const RenewCall& call,
+                          std::function<void(Result<WorkerReport>)> done) {
+      ++calls;
+      timers.ScheduleAfter(kNetwork, [this, call, done = std::move(done)] {
+        Acknowledge(call.acknowledged);
+        Answer(life_, timers.Now() + call.wait, done);
+      });
+    };
+    WorkerLinkHooks hooks;
+    hooks.on_report = [this](const WorkerReport& it) { OnReport(it); };
+    hooks.on_silent = [](std::error_code) {};
+    hooks.on_gone = [](const char*) {};
+    hooks.on_fenced = [] {};
+    hooks.ack_limit = [this] { return seen_end_; };
+    hooks.has_unstored_ends = [] { return false; };
+    hooks.may_order = [] { return true; };
+    link_ = std::make_unique<WorkerLink>(
+        calls_, timers,
+        WorkerAddress{.id = WorkerId("w"), .address = "127.0.0.1:1"},
+        FencingToken(1), hooks);
+    link_->Start();
+    StartTask();
+  }
+
+  /// The worker's process ends and begins its next life at once.
+  void Restart() {
+    ++life_;
+    born_ = timers.Now();
+    next_end_ = 1;
+    ends_.clear();
+  }
+
+  std::size_t listed() const { return ends_.size(); }
+
+  VirtualTimerService timers;
+  int calls = 0;
+  int started = 0;
+  int acknowledged = 0;
+  /// Ends that were acknowledged before the owner had seen them.
+  int swallowed = 0;
+
+ private:
+  static constexpr Duration kNetwork = milliseconds(1);
+  static constexpr Duration kOwnDelay = milliseconds(350);
+  static constexpr Duration kRunTime = milliseconds(100);
+  static constexpr Duration kPeriod = milliseconds(100);
+  static constexpr Duration kPollStep = milliseconds(5);
+
+  void Acknowledge(std::uint64_t limit) {
+    while (!ends_.empty() && *ends_.begin() <= limit) {
+      const bool was_seen = seen_life_ == life_ && *ends_.begin() <= seen_end_;
+      was_seen ? ++acknowledged : ++swallowed;
+      ends_.erase(ends_.begin());
+    }
+  }
+
+  void Answer(std::int64_t life, Instant until,
+              const std::function<void(Result<WorkerReport>)>& done) {
+    if (life != life_) {
+      // The connection has ended with the process.
+      timers.ScheduleAfter(kOwnDelay, [done] {
+        done(tl::unexpected(make_error_code(WorkerError::kNoAnswer)));
+      });
+      return;
+    }
+    if (ends_.empty() && timers.Now() < until) {
+      timers.ScheduleAfter(
+          kPollStep, [this, life, until, done] { Answer(life, until, done); });
+      return;
+    }
+    WorkerReport report{.clock_ms = ToMillis(timers.Now() - born_),
+                        .born_ms = life_};
+    for (const std::uint64_t it : ends_) report.ended.push_back({.number = it});
+    timers.ScheduleAfter(kOwnDelay, [done, report] { done(report); });
+  }
+
+  void OnReport(const WorkerReport& report) {
+    if (report.born_ms != seen_life_) seen_end_ = 0;
+    seen_life_ = report.born_ms;
+    for (const EndedTask& it : report.ended)
+      seen_end_ = std::max(seen_end_, it.number);
+  }
+
+  void StartTask() {
+    timers.ScheduleAfter(kPeriod, [this] { StartTask(); });
+    const auto deadline = link_->order_deadline_ms();
+    if (!deadline || !link_->may_start()) return;
+    ++started;
+    const auto answered = link_->NoteStart(*deadline);
+    timers.ScheduleAfter(kNetwork, [this, answered] {
+      timers.ScheduleAfter(kRunTime, [this, life = life_] {
+        if (life == life_) ends_.insert(next_end_++);
+      });
+      timers.ScheduleAfter(kOwnDelay, [answered] { answered(true); });
+    });
+  }
+
+  WorkerCalls calls_;
+  std::unique_ptr<WorkerLink> link_;
+  std::int64_t life_ = 1;
+  Instant born_{};
+  std::uint64_t next_end_ = 1;
+  std::set<std::uint64_t> ends_;
+  std::int64_t seen_life_ = 0;
+  std::uint64_t seen_end_ = 0;
+};
+
 }  // namespace
 
+TEST_CASE("an owner that handles all answers late still acknowledges ends") {
+  // Guards against a load that grows by itself: nothing was acknowledged, so
+  // every answer listed all ends, and the owner asked again at once.
+  SlowOwner owner;
+  owner.timers.Advance(seconds(20));
+  owner.calls = owner.started = owner.acknowledged = 0;
+  std::size_t longest = 0;
+  for (int i = 0; i < 200; ++i) {
+    owner.timers.Advance(milliseconds(100));
+    longest = std::max(longest, owner.listed());
+  }
+  MESSAGE("calls " << owner.calls << " starts " << owner.started
+                   << " acknowledged " << owner.acknowledged << " longest list "
+                   << longest);
+  // Four calls a second at most, and a list of less than 10 s of ends.
+  CHECK(owner.calls <= 80);
+  CHECK(longest < 100);
+  // Starts that are held back cost less than a third of the work.
+  CHECK(owner.started > 133);
+  CHECK(owner.acknowledged > owner.started * 2 / 3);
+  CHECK(owner.swallowed == 0);
+}
+
+TEST_CASE("a slow owner swallows no end of a worker's next life") {
+  for (int ms = 20'000; ms < 24'000; ms += 7) {
+    CAPTURE(ms);
+    SlowOwner owner;
+    owner.timers.Advance(milliseconds(ms));
+    owner.Restart();
+    owner.timers.Advance(seconds(20));
+    CHECK(owner.swallowed == 0);
+    CHECK(owner.listed() < 100);
+  }
+}
+
 TEST_CASE("ends are acknowledged at once after a call that waited for them") {
   // Guards against a delay of every acknowledgement by another call: the call
   // that brought the end was sent long ago, its answer is fresh.
@@ -109,6 +266,42 @@
   }
 }
 
+TEST_CASE("a call that this process ended late does not make a worker silent") {
+  // Guards against tasks that are taken from a sound worker because its owner
+  // was held up: the answer waited, or the timer of the call ran late.
+  for (const bool is_answered : {true, false}) {
+    CAPTURE(is_answered);
+    const auto end_late = [&](LinkFixture& fixture) {
+      fixture.Answer(1000);
+      fixture.timers.Advance(milliseconds(2'500));
+      if (is_answered) {
+        fixture.Answer(1600);
+      } else {
+        fixture.Fail(WorkerError::kNoAnswer);
+      }
+      CHECK(fixture.silences == 0);
+      // Whether the worker lives is not known: its lease is not extended.
+      CHECK(fixture.sent.size() == 3);
+      CHECK_FALSE(fixture.sent.back().deadline_ms);
+    };
+    LinkFixture answers;
+    end_late(answers);
+    answers.Answer(3'520);
+    CHECK(answers.silences == 0);
+    CHECK(answers.sent.back().deadline_ms);
+    LinkFixture silent;
+    end_late(silent);
+    silent.timers.Advance(milliseconds(800));
+    silent.Fail(WorkerError::kNoAnswer);
+    CHECK(silent.silences == 1);
+    LinkFixture lapsed;
+    end_late(lapsed);
+    lapsed.timers.Advance(milliseconds(5'000));
+    lapsed.Fail(WorkerError::kNoAnswer);
+    CHECK(lapsed.losses == 1);
+  }
+}
+
 TEST_CASE("an end is acknowledged once in each life") {
   // Guards against repeated acknowledgements that reach a new life late.
   LinkFixture fixture;
