Give a new peak its VMs before it is over

The pool of the peak before had grown to 227 workers with nothing waiting, 45 more were on their way to it until 16 s, and VMs that had been closed for it went there although its peak was over. - 17 to 21 s: a worker was emptied within 0.1 s (median) when it was idle and 1.3 to 2 s when it ran something; moves were called at the next decision, up to 250 ms later, and demand was that of the decision before. - from a move to the first report of the new worker: 2 s at first. From 21 s on the pool's owner did not hear of its new workers: of 212 VMs that were moved there 155 ever reported. This is not mended here.

Changes: - A VM that is closed but not yet moved goes where it is needed most by then, or takes tasks again in its own pool. - The pool that holds the least part of what it needs comes first; until now it was the one with the largest deficit, so the headroom of a large pool went before a peak that had just begun. - The need of a pool counts what its demand has grown by within a second. - Seven tenths of the fleet may be on their way instead of a third. - A decision follows the answers of the pools' owners and the report of an emptied worker within 30 ms.

More VMs move than before.

--- a/libs/fleet/include/pomelomill/fleet/pool_sizer.h
+++ b/libs/fleet/include/pomelomill/fleet/pool_sizer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,6 +33,10 @@
   /// The same for a pool that gives VMs to one in need: about what a full VM
   /// of 32 cores leaves unused between tasks of four cores.
   double giving_headroom = 1.1;
+  /// Cores wanted besides for each core by which demand has grown within
+  /// `trend_window`: it grows on while VMs are emptied and moved.
+  double growth_ahead = 1.0;
+  Duration trend_window = std::chrono::seconds(1);
   /// A pool keeps this many VMs, whatever its demand.
   std::uint32_t min_vms = 3;
   /// An older load says nothing.
@@ -44,9 +49,10 @@
   /// seconds of a VM in a pool.
   double reserve_share = 0.17;
   Duration park_after = std::chrono::seconds(6);
-  /// Share of all VMs that may be on their way at a time: a peak asks for half
-  /// of them within seconds.
-  double max_move_share = 0.34;
+  /// Share of all VMs that may be on their way at a time. A peak asks for half
+  /// of them within seconds, and those that one pool has closed for the last
+  /// peak still count when the next begins.
+  double max_move_share = 0.7;
 };
 
 struct SizePlan {
@@ -105,6 +111,8 @@
   struct Load {
     PoolLoad load;
     std::set<WorkerId> idle;
+    /// Demand within the trend window, the oldest first.
+    std::deque<std::pair<Instant, double>> demand;
   };
   /// What one decision knows of a pool, kept up to date while it takes VMs.
   struct PoolCount {
@@ -128,8 +136,9 @@
 
   Snapshot TakeSnapshot(Instant now) const;
   void AddDonor(const FleetVm& vm, Snapshot& snapshot) const;
-  std::optional<std::uint32_t> Need(const PoolId& pool, double headroom,
-                                    Instant now) const;
+  /// VMs that the pool's demand asks for, and those that it keeps while it
+  /// gives some to others; nothing without a fresh load.
+  void CountNeeds(const PoolId& pool, Instant now, PoolCount& count) const;
   std::uint32_t CpuOfVm() const;
   std::uint32_t ShareOfVms(double share) const;
   /// Removes a VM that `to` may have from the snapshot's lists; null when there
@@ -138,6 +147,11 @@
   void Take(const FleetVm& vm, const PoolId& to, Instant now,
             Snapshot& snapshot, SizePlan& plan);
   void AdvanceTaken(Instant now, SizePlan& plan);
+  /// Closed VMs whose new pool has enough by now go to another one or back.
+  void RedirectTaken(Snapshot& snapshot, SizePlan& plan);
+  /// The pool that holds the least part of what it needs; null when none
+  /// needs more. A peak that begins goes before the headroom of one that lasts.
+  static const PoolId* FindNeediest(const Snapshot& snapshot);
   void PlanGrowth(Instant now, Snapshot& snapshot, SizePlan& plan);
   void PlanParking(Instant now, Snapshot& snapshot, SizePlan& plan);
 
--- a/libs/fleet/src/pool_sizer.cc
+++ b/libs/fleet/src/pool_sizer.cc
@@ -48,7 +48,13 @@
 }
 
 void PoolSizer::SetLoad(const PoolId& pool, const PoolLoad& load) {
-  loads_[pool] = {load, {load.idle.begin(), load.idle.end()}};
+  Load& it = loads_[pool];
+  it.load = load;
+  it.idle = {load.idle.begin(), load.idle.end()};
+  it.demand.emplace_back(
+      load.at, static_cast<double>(load.running_cpu + load.waiting_cpu));
+  while (load.at - it.demand.front().first > options_.trend_window)
+    it.demand.pop_front();
 }
 
 void PoolSizer::OnEmptied(const WorkerId& worker) { emptied_.insert(worker); }
@@ -87,18 +93,21 @@
   return static_cast<std::uint32_t>(static_cast<double>(vms_.size()) * share);
 }
 
-std::optional<std::uint32_t> PoolSizer::Need(const PoolId& pool,
-                                             double headroom,
-                                             Instant now) const {
+void PoolSizer::CountNeeds(const PoolId& pool, Instant now,
+                           PoolCount& count) const {
   const auto it = loads_.find(pool);
   if (it == loads_.end() || now - it->second.load.at > options_.load_lasts ||
       CpuOfVm() == 0)
-    return std::nullopt;
-  const auto demand = static_cast<double>(it->second.load.running_cpu +
-                                          it->second.load.waiting_cpu);
-  const auto vms =
-      static_cast<std::uint32_t>(std::ceil(demand * headroom / CpuOfVm()));
-  return std::max(vms, options_.min_vms);
+    return;
+  const auto vms = [&](double cpu) {
+    return std::max(static_cast<std::uint32_t>(std::ceil(cpu / CpuOfVm())),
+                    options_.min_vms);
+  };
+  const double demand = it->second.demand.back().second;
+  const double growth =
+      std::max(0.0, demand - it->second.demand.front().second);
+  count.need = vms(demand * options_.headroom + growth * options_.growth_ahead);
+  count.giving_need = vms(demand * options_.giving_headroom);
 }
 
 void PoolSizer::AddDonor(const FleetVm& vm, Snapshot& snapshot) const {
@@ -121,8 +130,7 @@
 PoolSizer::Snapshot PoolSizer::TakeSnapshot(Instant now) const {
   Snapshot snapshot;
   for (const PoolId& it : pools_) {
-    snapshot.pools[it].need = Need(it, options_.headroom, now);
-    snapshot.pools[it].giving_need = Need(it, options_.giving_headroom, now);
+    CountNeeds(it, now, snapshot.pools[it]);
   }
   for (const auto& [id, vm] : vms_) {
     ++snapshot.examined;
@@ -213,19 +221,46 @@
   }
 }
 
+const PoolId* PoolSizer::FindNeediest(const Snapshot& snapshot) {
+  const PoolId* neediest = nullptr;
+  double least = 1;
+  for (const auto& [id, pool] : snapshot.pools) {
+    if (!pool.need) continue;
+    const double share = static_cast<double>(pool.have) / *pool.need;
+    if (share >= least) continue;
+    least = share;
+    neediest = &id;
+  }
+  return neediest;
+}
+
+void PoolSizer::RedirectTaken(Snapshot& snapshot, SizePlan& plan) {
+  for (auto it = taken_.begin(); it != taken_.end();) {
+    auto& [id, taken] = *it;
+    PoolCount& to = snapshot.pools[taken.to];
+    const PoolId* const neediest = FindNeediest(snapshot);
+    if (taken.stage != Stage::kClosing || !to.need || to.have <= *to.need ||
+        neediest == nullptr) {
+      ++it;
+      continue;
+    }
+    --to.have;
+    ++snapshot.pools[*neediest].have;
+    if (*neediest == taken.from) {
+      plan.reopens.push_back({taken.from, taken.worker});
+      it = taken_.erase(it);
+    } else {
+      taken.to = *neediest;
+      ++it;
+    }
+  }
+}
+
 void PoolSizer::PlanGrowth(Instant now, Snapshot& snapshot, SizePlan& plan) {
   const std::size_t max_moves =
       std::max(1U, ShareOfVms(options_.max_move_share));
   while (taken_.size() < max_moves) {
-    const PoolId* neediest = nullptr;
-    std::uint32_t deficit = 0;
-    for (const auto& [id, pool] : snapshot.pools) {
-      if (!pool.need || *pool.need <= pool.have ||
-          *pool.need - pool.have <= deficit)
-        continue;
-      deficit = *pool.need - pool.have;
-      neediest = &id;
-    }
+    const PoolId* const neediest = FindNeediest(snapshot);
     if (neediest == nullptr) return;
     const FleetVm* const donor = TakeDonor(*neediest, snapshot);
     if (donor == nullptr) return;
@@ -257,6 +292,7 @@
   SizePlan plan;
   AdvanceTaken(now, plan);
   Snapshot snapshot = TakeSnapshot(now);
+  RedirectTaken(snapshot, plan);
   PlanGrowth(now, snapshot, plan);
   PlanParking(now, snapshot, plan);
   plan.examined = snapshot.examined;
--- a/libs/jobserver/src/fleet_manager.cc
+++ b/libs/jobserver/src/fleet_manager.cc
@@ -24,6 +24,10 @@
 /// Peaks begin within a second and last some seconds.
 constexpr Duration kLoadPeriod = std::chrono::milliseconds(250);
 
+/// Answers of several owners, and workers that are emptied together, arrive
+/// within this time.
+constexpr Duration kNewsPause = std::chrono::milliseconds(30);
+
 std::string Describe(const Result<MaintainOutcome>& outcome) {
   if (!outcome) return outcome.error().message();
   switch (*outcome) {
@@ -158,6 +162,7 @@
     book_.OnEmptied(worker);
     sizer_.OnEmptied(worker);
     Plan();
+    PlanSizesSoon();
   }
 
   void OnWave(const StoredKey& change) {
@@ -269,11 +274,22 @@
                                          .idle = it->idle,
                                          .light = light,
                                          .at = self.timers_.Now()});
+                              self.PlanSizesSoon();
                             }));
     }
     PlanSizes();
   }
 
+  /// One decision for all news that arrive together.
+  void PlanSizesSoon() {
+    if (is_sizing_soon_) return;
+    is_sizing_soon_ = true;
+    Later(kNewsPause, [](Impl& self) {
+      self.is_sizing_soon_ = false;
+      self.PlanSizes();
+    });
+  }
+
   void PlanSizes() {
     if (!MayCall()) return;
     const Instant began = timers_.Now();
@@ -392,6 +408,7 @@
   TimerId list_timer_ = 0;
   TimerId load_timer_ = 0;
   bool is_listing_ = false;
+  bool is_sizing_soon_ = false;
   bool is_halted_ = false;
 };
 
