Let a new owner of the fleet wait out its predecessor's orders

A new owner reopened the workers that it found closed as soon as it had read their keys, and gave orders at once. An order of its predecessor that was still under way was carried out on a worker that had tasks again: nobody had shown the platform a higher fencing token for that VM. An owner that gives up its lease in order is followed even sooner.

A new owner now gives no order to a VM, and reopens no worker, for 3 s, which is longer than the 1.5 s for which an order waits for its answer. Sizing and waves stand still meanwhile.

A late order itself is not played; the stand-in of the platform cannot delay one yet.

--- a/libs/jobserver/src/fleet_manager.cc
+++ b/libs/jobserver/src/fleet_manager.cc
@@ -24,6 +24,9 @@
 /// Peaks begin within a second and last some seconds.
 constexpr Duration kLoadPeriod = std::chrono::milliseconds(250);
 
+/// An order of the owner before may still be carried out within this time, and
+/// two owners in turn must not order one VM within it.
+constexpr Duration kOrderLasts = std::chrono::milliseconds(3000);
 /// Answers of several owners, and workers that are emptied together, arrive
 /// within this time.
 constexpr Duration kNewsPause = std::chrono::milliseconds(30);
@@ -62,6 +65,7 @@
         hooks_(std::move(hooks)) {}
 
   void Start(const FleetConfig& config) {
+    orders_from_ = timers_.Now() + kOrderLasts;
     writer_.emplace(
         platform_.store, timers_, token_,
         FleetWriterHooks{
@@ -132,7 +136,8 @@
   }
 
   /// Reopens the workers that an earlier owner had closed: it alone knew what
-  /// for.
+  /// for. Until its orders can have no effect any more they stay closed, as a
+  /// late one would end the tasks that are started there.
   void ReadClosures(const PoolId& pool) {
     platform_.store.read_prefix(
         EvacuationPrefix(pool), kStoreTimeout,
@@ -145,8 +150,10 @@
           const std::size_t prefix = EvacuationPrefix(pool).size();
           for (const StoredKey& it : read->items) {
             const WorkerId worker(it.key.substr(prefix));
-            if (!self.closures_.contains(worker))
-              self.Reopen({pool, worker, {}});
+            self.Later(kOrderLasts, [pool, worker](Impl& later) {
+              if (!later.closures_.contains(worker))
+                later.Reopen({pool, worker, {}});
+            });
           }
         }));
   }
@@ -321,7 +328,9 @@
     if (hooks_.decided) hooks_.decided(decision, vms_, timers_.Now() - began);
   }
 
-  bool MayCall() const { return timers_.Now() < hooks_.call_limit(); }
+  bool MayCall() const {
+    return timers_.Now() >= orders_from_ && timers_.Now() < hooks_.call_limit();
+  }
 
   void Plan() {
     if (!MayCall()) return;
@@ -397,6 +406,7 @@
   std::set<PoolId> pools_;
   /// VMs in the last list.
   std::size_t vms_ = 0;
+  Instant orders_from_{};
   /// Keys of the operator's waves.
   std::map<std::string, WaveId> keys_;
   /// Workers that this owner has closed and not reopened.
--- a/libs/jobserver/test/wave_test.cc
+++ b/libs/jobserver/test/wave_test.cc
@@ -162,4 +162,38 @@
   }
 }
 
+TEST_CASE("the next owner of the fleet waits out orders of the one before") {
+  // Guards against an order that is carried out late, on a worker that the next
+  // owner has reopened and that runs tasks again, and against two owners that
+  // order one VM in turn within 3 s.
+  const auto is_order = [](const std::string& line) {
+    return line.find(" fleet worker-reopen") != std::string::npos ||
+           line.find(" fleet move ") != std::string::npos ||
+           line.find(" fleet maintain ") != std::string::npos;
+  };
+  for (int i = 0; i < 12; ++i) {
+    CAPTURE(i);
+    JobWorld world({.workers_per_pool = 8, .run_time = seconds(1)});
+    world.Advance(seconds(6));
+    world.StartWave("1", 4);
+    for (int n = 0; n < 40; ++n)
+      world.Submit(0, "job" + std::to_string(n), 0, ChainJob(1, 4));
+    world.Advance(milliseconds(300 + 50 * i));
+    const int owner = world.FleetOwner();
+    REQUIRE(owner >= 0);
+    world.KillEntry(static_cast<std::size_t>(owner));
+    while (world.FleetOwner() < 0 || world.FleetOwner() == owner)
+      world.Advance(milliseconds(50));
+    const std::size_t before = world.events().size();
+    world.Advance(milliseconds(2'900));
+    for (std::size_t n = before; n < world.events().size(); ++n) {
+      INFO(world.events()[n]);
+      CHECK_FALSE(is_order(world.events()[n]));
+    }
+    world.Advance(seconds(40));
+    CHECK(world.WaveState("1") == "complete");
+    CheckNothingIsClosed(world);
+  }
+}
+
 }  // namespace pomelomill
