Wait at a start until no further entry registers

A deployment without owners acquired its roles 0.5 s after the first entry saw that there were none, whichever entries had registered by then. Entries that start one after the other over more than 0.5 s left all roles with the first, strong or weak, and an owner keeps its role.

The first acquisition now waits until no entry has registered for 0.5 s, at most 2 s in all. The wait of a role does not end when another role finds its owner, so an entry that was not chosen does not get ahead of one that was. A takeover has no such wait, as before.

--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -1,6 +1,7 @@
 #include "ownership.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -12,8 +13,11 @@
 
 constexpr Duration kCommitTimeout = std::chrono::milliseconds(900);
 constexpr Duration kRetryPause = std::chrono::milliseconds(150);
-/// Entries start within 0.3 s of each other; the first must not take all.
+/// At the start of a deployment nothing is acquired before no further entry has
+/// registered for this time: the first must not take all.
 constexpr Duration kFirstWait = std::chrono::milliseconds(500);
+/// Entries that come later than this are not waited for.
+constexpr Duration kLongestFirstWait = std::chrono::milliseconds(2000);
 /// The chosen entry has this long before the others try as well.
 constexpr Duration kChosenWait = std::chrono::milliseconds(600);
 
@@ -122,13 +126,15 @@
 
   void Acquire() {
     const Instant now = timers_.Now();
+    NoteMembers(now);
+    const Instant free_at = view_.owners().empty() ? FirstAcquisition() : now;
     std::vector<PoolId> unowned;
     std::map<PoolId, EntryId> owned;
     for (const auto& [it, kind] : roles_) {
       const auto* const owner = view_.FindOwner(it);
       if (owner != nullptr) {
         owned[it] = owner->record.entry;
-        unowned_since_.erase(it);
+        free_at_.erase(it);
         // Left by an earlier process of this entry whose lease goes on.
         const bool is_stale =
             owner->record.entry == settings_.entry && !IsMine(owner->record);
@@ -141,15 +147,16 @@
         owned[it] = settings_.entry;
       } else {
         unowned.push_back(it);
-        unowned_since_.try_emplace(it, now);
+        // Once later, it stays so: the first acquisition of another role must
+        // not end the wait for those that were chosen for the rest.
+        Instant& at = free_at_.try_emplace(it, free_at).first->second;
+        if (view_.owners().empty()) at = free_at;
       }
     }
     if (unowned.empty()) return;
     const auto chosen = ChooseOwners(roles_, owned, view_.members());
-    const bool is_first = view_.owners().empty();
     for (const PoolId& it : unowned) {
-      const Instant since = unowned_since_[it];
-      Instant due = since + (is_first ? kFirstWait : Duration(0));
+      Instant due = free_at_[it];
       const auto choice = chosen.find(it);
       if (choice == chosen.end() || choice->second != settings_.entry)
         due += kChosenWait;
@@ -161,6 +168,26 @@
     }
   }
 
+  void NoteMembers(Instant now) {
+    std::set<EntryId> members;
+    for (const auto& [entry, record] : view_.members()) {
+      members.insert(entry);
+      if (!known_members_.contains(entry)) latest_member_at_ = now;
+    }
+    // A deployment that lost all entries starts anew.
+    if (members.empty()) first_member_at_.reset();
+    if (!members.empty() && !first_member_at_) first_member_at_ = now;
+    known_members_ = std::move(members);
+  }
+
+  /// When the first role of a deployment without owners may be acquired.
+  Instant FirstAcquisition() const {
+    const Instant now = timers_.Now();
+    const Instant first = first_member_at_.value_or(now);
+    return std::min(std::max(first, latest_member_at_) + kFirstWait,
+                    first + kLongestFirstWait);
+  }
+
   void TryAcquire(const PoolId& pool, Version expected) {
     if (!acquiring_.insert(pool).second) return;
     acquired_under_[pool] = lease_.lease();
@@ -231,7 +258,12 @@
   /// Owned pools whose key the watch has shown.
   std::set<PoolId> shown_;
   std::set<PoolId> acquiring_;
-  std::map<PoolId, Instant> unowned_since_;
+  /// When the chosen entry may acquire each role that has no owner.
+  std::map<PoolId, Instant> free_at_;
+  std::set<EntryId> known_members_;
+  /// When the first and the latest member were seen.
+  std::optional<Instant> first_member_at_;
+  Instant latest_member_at_{};
   /// The lease to which the latest acquisition of each pool is attached.
   std::map<PoolId, LeaseId> acquired_under_;
   LeaseId registered_under_;
--- a/libs/jobserver/test/ownership_test.cc
+++ b/libs/jobserver/test/ownership_test.cc
@@ -3,17 +3,24 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "cluster_view.h"
 #include "pomelomill/base/virtual_timer_service.h"
 #include "pomelomill/jobtesting.h"
+#include "pomelomill/store/lease_keeper.h"
+#include "pomelomill/store/prefix_follower.h"
 #include "store_keys.h"
 #include "store_records.h"
 
 namespace pomelomill {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 using Members = std::map<EntryId, MemberRecord>;
 using Owners = std::map<PoolId, EntryId>;
 
@@ -58,8 +65,105 @@
   return n;
 }
 
+/// One entry's part in the choice, on a store that it shares with others.
+struct Entry {
+  Entry(FakeKvStore& store, VirtualTimerService& timers,
+        const std::string& name, const EntryCapacity& capacity)
+      : client(store.Client(timers, faults)),
+        leases(store.Leases(timers, faults)),
+        lease(leases, timers,
+              {.ttl = seconds(3), .drift_margin = milliseconds(300)},
+              {.on_held = [this](const LeaseId&) { ownership.Update(); }}),
+        ownership(
+            client, timers, lease, view, Settings(name, capacity),
+            IncarnationId(name + ".1"),
+            {.on_acquired = [](const PoolId&, FencingToken, const LeaseId&) {},
+             .on_lost = [](const PoolId&) {}}),
+        cluster(client, timers, kClusterPrefix,
+                {.on_change =
+                     [this](const StoredKey& change) {
+                       view.Apply(change);
+                       if (cluster.is_loaded()) ownership.Update();
+                     },
+                 .on_loaded = [this] { ownership.Update(); }}) {
+    lease.Start();
+    cluster.Start();
+    ownership.SetRoles(SiteRoles());
+  }
+
+  const JobServiceSettings& Settings(const std::string& name,
+                                     const EntryCapacity& capacity) {
+    settings.entry = EntryId(name);
+    settings.zone = ZoneId("z");
+    settings.peer_address = name + ":1";
+    settings.capacity = capacity;
+    return settings;
+  }
+
+  StoreFaults faults;
+  JobServiceSettings settings;
+  TransactionClient client;
+  StoreClient leases;
+  ClusterView view;
+  LeaseKeeper lease;
+  Ownership ownership;
+  PrefixFollower cluster;
+};
+
 }  // namespace
 
+// Guards against weak entries that own everything because they were first.
+TEST_CASE("entries that start one after the other share by capacity") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  std::vector<std::unique_ptr<Entry>> entries;
+  // The strong ones are last.
+  for (int i = 0; i < 12; ++i) {
+    const bool is_strong = i >= 6;
+    entries.push_back(std::make_unique<Entry>(
+        store, timers, (is_strong ? "strong-" : "weak-") + std::to_string(i),
+        is_strong ? kStrong : kWeak));
+    timers.Advance(milliseconds(120));
+  }
+  timers.Advance(seconds(3));
+  for (int i = 0; i < 12; ++i) {
+    CAPTURE(i);
+    CHECK(entries[i]->ownership.owned().size() == (i >= 6 ? 1 : 0));
+  }
+}
+
+// Guards against a deployment that waits for ever for more entries, and against
+// a wait that adds to each takeover.
+TEST_CASE("the wait of a start is bounded and a takeover has none") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  std::vector<std::unique_ptr<Entry>> entries;
+  for (int i = 0; i < 8; ++i) {
+    entries.push_back(std::make_unique<Entry>(
+        store, timers, "e" + std::to_string(i), kStrong));
+    timers.Advance(milliseconds(400));
+  }
+  const auto owned = [&] {
+    std::size_t n = 0;
+    for (const auto& it : entries) n += it ? it->ownership.owned().size() : 0;
+    return n;
+  };
+  CHECK(owned() == 6);
+  // The store ends the lease of a lost owner within 3 s.
+  const auto lost = std::find_if(
+      entries.begin(), entries.end(),
+      [](const auto& it) { return !it->ownership.owned().empty(); });
+  (*lost)->faults.is_cut = true;
+  // Changes of leases are noticed by the calls of the others.
+  timers.Advance(milliseconds(3500));
+  std::set<PoolId> pools;
+  for (const auto& it : entries) {
+    if (it == *lost) continue;
+    for (const auto& [pool, token] : it->ownership.owned()) pools.insert(pool);
+  }
+  CHECK(pools.size() == 6);
+}
+
 // Guards against a role without an owner, and against two roles on one of many
 // equal entries.
 TEST_CASE("equal entries get one role each") {
