Keep idle connections beside those in use

Cause found in the library: max_idle_connections is handed to libcurl as CURLMOPT_MAXCONNECTS, which covers the connections in use as well. While there are more than that together, libcurl closes the oldest idle connection after each exchange. An owner holds a long poll to each worker, so its orders open new connections as soon as polls and idle connections pass the limit.

The limit now follows the number of exchanges under way. Ruled out by the test: that libcurl fails to reuse a connection beside one that a long poll holds.

Failed before: CHECK( server.connections() == 1 ) 5 == 1 After: http_test passes (asan).

--- a/libs/http/include/pomelomill/http/http_client.h
+++ b/libs/http/include/pomelomill/http/http_client.h
@@ -17,7 +17,7 @@
   /// Connections to one address, idle ones included; 0 means no limit.
   /// Requests beyond it wait and count against their timeout.
   std::size_t max_connections_per_host = 0;
-  /// Idle connections that are kept.
+  /// Idle connections that are kept, besides those in use.
   std::size_t max_idle_connections = 512;
 };
 
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -42,7 +42,9 @@
 class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& context, const HttpClientOptions& options)
-      : context_(context), timer_(context) {
+      : context_(context),
+        timer_(context),
+        max_idle_connections_(options.max_idle_connections) {
     InitializeCurl();
     multi_.reset(curl_multi_init());
     CURLM* m = multi_.get();
@@ -52,8 +54,7 @@
     curl_multi_setopt(m, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(m, CURLMOPT_MAX_HOST_CONNECTIONS,
                       static_cast<long>(options.max_connections_per_host));
-    curl_multi_setopt(m, CURLMOPT_MAXCONNECTS,
-                      static_cast<long>(options.max_idle_connections));
+    LimitConnections();
   }
 
   RequestId Send(HttpRequest request, Callback callback) {
@@ -65,6 +66,7 @@
         curl_multi_add_handle(multi_.get(), transfer->handle()) == CURLM_OK;
     Transfer& ref = *transfer;
     transfers_.emplace(id, std::move(transfer));
+    LimitConnections();
     if (!is_accepted) Refuse(ref);
     return id;
   }
@@ -74,6 +76,7 @@
     if (it == transfers_.end()) return;
     curl_multi_remove_handle(multi_.get(), it->second->handle());
     transfers_.erase(it);
+    LimitConnections();
   }
 
   void Stop() {
@@ -89,6 +92,14 @@
   std::size_t in_flight() const { return transfers_.size(); }
 
  private:
+  /// libcurl's limit covers the connections in use as well, and closes an idle
+  /// one after each exchange while it is exceeded.
+  void LimitConnections() {
+    curl_multi_setopt(
+        multi_.get(), CURLMOPT_MAXCONNECTS,
+        static_cast<long>(max_idle_connections_ + transfers_.size()));
+  }
+
   void Refuse(Transfer& transfer) {
     asio::post(context_, [self = shared_from_this(), id = transfer.id()] {
       const auto it = self->transfers_.find(id);
@@ -193,12 +204,14 @@
       const Callback callback = std::move(transfer->callback());
       curl_multi_remove_handle(multi_.get(), transfer->handle());
       transfers_.erase(transfer->id());
+      LimitConnections();
       callback(std::move(result));
     }
   }
 
   asio::io_context& context_;
   asio::steady_timer timer_;
+  const std::size_t max_idle_connections_;
   std::unique_ptr<CURLM, MultiDeleter> multi_;
   std::map<RequestId, std::unique_ptr<Transfer>> transfers_;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches_;
