--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
@@ -20,10 +20,9 @@
   /// Share of the orders that get no answer and are carried out `late` later.
   double late_share = 0;
   Duration late = std::chrono::seconds(3);
-  /// Share of the calls whose connection fails although the worker lives: the
-  /// process has no descriptor left, or the connection is reset. The adapter
-  /// reports each failed connection attempt as refused.
-  double refused_share = 0;
+  /// Share of the calls that the process cannot send although the worker lives,
+  /// for instance because it has no descriptor left.
+  double unsent_share = 0;
 };
 
 /// One run of a task, as the worker saw it.
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -337,7 +337,7 @@
     return fault->is_cut || (it != workers_.end() && it->second.is_cut);
   };
   const auto fails = [this, fault] {
-    return fault->refused_share > 0 && random_.Chance(fault->refused_share);
+    return fault->unsent_share > 0 && random_.Chance(fault->unsent_share);
   };
   /// Runs `order` there, with its answer or without one.
   const auto send =
@@ -417,7 +417,7 @@
     }
     if (fails()) {
       timers->ScheduleAfter(
-          kLatency, [done] { done(Unexpected(WorkerError::kRefused)); });
+          kLatency, [done] { done(Unexpected(WorkerError::kNotSent)); });
       return;
     }
     timers_.ScheduleAfter(kLatency, [=, this] {
