Keep a worker's lease when only this process is late or short of sockets

A silent worker's answer that was handled more than 1.2 s late was thrown away, so no deadline went out and the lease lapsed although the worker answered each call. A call that could not be sent for want of a descriptor made the worker silent, with the same end. Callers would see long-running tasks end and jobs start again (AVAIL, LOST).

A late answer counts unless the lease has lapsed meanwhile: its time of handling only shortens the deadline that is sent and puts off the time at which the lease counts as lapsed. A call that was not sent is repeated and changes nothing.

--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -138,11 +138,22 @@
         [weak = weak_from_this(), stale_at,
          acknowledged = call.acknowledged](Result<WorkerReport> result) {
           const auto self = weak.lock();
-          if (self != nullptr && !self->is_halted_)
-            self->OnAnswer(std::move(result), stale_at, acknowledged);
+          if (self == nullptr || self->is_halted_) return;
+          if (!result && result.error() == WorkerError::kNotSent)
+            return self->OnNotSent();
+          self->OnAnswer(std::move(result), stale_at, acknowledged);
         });
   }
 
+  /// A call that did not leave this process says nothing of the worker. Its
+  /// deadline stays noted: that only puts off the time at which the lease
+  /// counts as lapsed.
+  void OnNotSent() {
+    if (is_gone_ || timers_.Now() > lapses_at_)
+      return OnFailure(WorkerError::kNotSent);
+    Again(options_.retry_pause);
+  }
+
   void OnAnswer(Result<WorkerReport> result, Instant stale_at,
                 std::uint64_t acknowledged) {
     // This process was held up; the outcome says little about the present, and
@@ -156,7 +167,8 @@
       return Call();
     }
     if (!result) return OnFailure(result.error());
-    if (is_late && !is_doubtful_) return OnFailure(WorkerError::kNoAnswer);
+    if (is_late && !is_doubtful_ && timers_.Now() > lapses_at_)
+      return OnFailure(WorkerError::kNoAnswer);
     refusals_ = 0;
     const bool is_first = !clock_ms_ || born_ms_ != result->born_ms;
     if (is_first) {
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -302,6 +302,51 @@
   }
 }
 
+TEST_CASE("a late answer of a silent worker keeps its lease") {
+  // Guards against leases that lapse though the worker answers each call: the
+  // owner handles all answers 1.5 s late, after one real time-out.
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  std::int64_t clock_ms = 1000;
+  fixture.timers.Advance(milliseconds(1400));
+  fixture.Fail(WorkerError::kNoAnswer);
+  CHECK(fixture.silences == 1);
+  clock_ms += 1400;
+  for (int i = 0; i < 12; ++i) {
+    fixture.timers.Advance(milliseconds(1500));
+    clock_ms += 1500;
+    fixture.Answer(clock_ms - 1400);
+  }
+  CHECK(fixture.losses == 0);
+  CHECK(fixture.silences == 1);
+  CHECK(fixture.sent.back().deadline_ms);
+}
+
+TEST_CASE("calls that this process cannot send say nothing of the worker") {
+  // Guards against leases that are not extended, and workers that count as
+  // silent, for want of a descriptor here.
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  std::int64_t clock_ms = 1000;
+  for (int round = 0; round < 6; ++round) {
+    for (int i = 0; i < 20; ++i) {
+      fixture.Fail(WorkerError::kNotSent);
+      fixture.timers.Advance(milliseconds(100));
+      clock_ms += 100;
+    }
+    CHECK(fixture.sent.back().deadline_ms);
+    fixture.Answer(clock_ms);
+  }
+  CHECK(fixture.silences == 0);
+  CHECK(fixture.losses == 0);
+  // A worker that is then silent still lapses.
+  for (int i = 0; i < 80 && fixture.losses == 0; ++i) {
+    fixture.Fail(WorkerError::kNoAnswer);
+    fixture.timers.Advance(milliseconds(100));
+  }
+  CHECK(fixture.losses == 1);
+}
+
 TEST_CASE("an end is acknowledged once in each life") {
   // Guards against repeated acknowledgements that reach a new life late.
   LinkFixture fixture;
