--- a/app/dispatch/dispatch_command.cc
+++ b/app/dispatch/dispatch_command.cc
@@ -14,7 +14,7 @@
 #include "event_output.h"
 #include "pomelomill/base/asio_timer_service.h"
 #include "pomelomill/config.h"
-#include "pomelomill/http/http_client.h"
+#include "pomelomill/http/persistent_http_client.h"
 #include "pomelomill/jobserver/job_server.h"
 
 namespace pomelomill {
@@ -80,8 +80,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context context(1);
   AsioTimerService timers(context);
-  HttpClient http(context);
-  EventOutput output([&timers] { return timers.Now(); });
+  PersistentHttpClient http(context);
+  EventOutput output(timers);
   const EventHook event = [&](std::string_view part, std::string_view name,
                               const std::vector<EventField>& fields) {
     output.Write(part, name, fields);
--- a/app/test/event_output_test.cc
+++ b/app/test/event_output_test.cc
@@ -7,9 +7,13 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "pomelomill/base/virtual_timer_service.h"
+
 namespace pomelomill {
 namespace {
 
+const Duration kFlushDelay = EventOutputOptions{}.flush_delay;
+
 /// A pipe that is read only by calls of Read().
 class Pipe {
  public:
@@ -53,10 +57,10 @@
     "each event is one line of valid JSON, also with quotes and invalid "
     "UTF-8") {
   const Pipe pipe;
-  Instant now{};
-  EventOutput output([&now] { return now; },
-                     {.file_descriptor = pipe.writer()});
+  VirtualTimerService timers;
+  EventOutput output(timers, {.file_descriptor = pipe.writer()});
   output.Write("front", "answer", {{"job", "a\"b\n"}, {"target", "\xff"}});
+  timers.Advance(kFlushDelay);
   const auto lines = pipe.Read();
   REQUIRE(lines.size() == 1);
   CHECK(lines[0]["part"] == "front");
@@ -67,13 +71,15 @@
 
 TEST_CASE("lines above the rate limit are dropped and counted") {
   const Pipe pipe;
-  Instant now{};
-  EventOutput output([&now] { return now; }, {.file_descriptor = pipe.writer(),
-                                              .max_lines_per_second = 3});
+  VirtualTimerService timers;
+  EventOutput output(
+      timers, {.file_descriptor = pipe.writer(), .max_lines_per_second = 3});
   for (int i = 0; i < 10; ++i) output.Write("p", "e", {});
+  timers.Advance(kFlushDelay);
   CHECK(pipe.Read().size() == 3);
-  now += std::chrono::seconds(2);
+  timers.Advance(std::chrono::seconds(2));
   output.Write("p", "e", {});
+  timers.Advance(kFlushDelay);
   const auto lines = pipe.Read();
   REQUIRE(lines.size() == 1);
   CHECK(lines[0]["omitted"] == 7);
@@ -81,10 +87,9 @@
 
 TEST_CASE("a pipe that nobody reads does not block the writer") {
   const Pipe pipe;
-  Instant now{};
-  EventOutput output(
-      [&now] { return now; },
-      {.file_descriptor = pipe.writer(), .max_lines_per_second = 1'000'000});
+  VirtualTimerService timers;
+  EventOutput output(timers, {.file_descriptor = pipe.writer(),
+                              .max_lines_per_second = 1'000'000});
   // A pipe holds 64 KiB; lines beyond that are dropped while nobody reads.
   for (int i = 0; i < 5'000; ++i)
     output.Write("p", "e", {{"text", std::string(100, 'x')}});
@@ -92,4 +97,31 @@
   CHECK_FALSE(pipe.Read().empty());
 }
 
+// Guards against a system call for each line, which took a tenth of the
+// processor time of a busy owner, and against lines that stay behind.
+TEST_CASE("lines are written together, at the latest after the flush delay") {
+  const Pipe pipe;
+  VirtualTimerService timers;
+  {
+    EventOutput output(timers, {.file_descriptor = pipe.writer()});
+    for (int i = 0; i < 3; ++i) output.Write("p", "e", {});
+    CHECK(pipe.Read().empty());
+    timers.Advance(kFlushDelay);
+    CHECK(pipe.Read().size() == 3);
+    output.Write("p", "last", {});
+  }
+  CHECK(pipe.Read().size() == 1);
+}
+
+TEST_CASE("a line that no pipe takes at once is counted and not cut") {
+  const Pipe pipe;
+  VirtualTimerService timers;
+  EventOutput output(timers, {.file_descriptor = pipe.writer()});
+  output.Write("p", "e", {{"text", std::string(5'000, 'x')}});
+  output.Write("p", "e", {});
+  timers.Advance(kFlushDelay);
+  CHECK(output.omitted() == 1);
+  CHECK(pipe.Read().size() == 1);
+}
+
 }  // namespace pomelomill
--- a/libs/base/src/asio_timer_service.cc
+++ b/libs/base/src/asio_timer_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <ctime>
 #include <map>
@@ -53,11 +54,28 @@
  private:
   void Arm() {
     if (timers_.empty()) return;
-    const Duration wait =
-        std::clamp(timers_.begin()->first.first - Now(), Duration(0), kMaxWait);
-    timer_.expires_after(wait);
+    const Instant first = timers_.begin()->first.first;
+    const Instant now = Now();
+    if (first <= now) return PostRun();
+    // A wait that ends earlier arms the next one itself. Each change of the
+    // wait costs a system call, and most timers are cancelled or moved before
+    // they are due.
+    if (is_waiting_ && wait_ends_at_ > now && wait_ends_at_ <= first) return;
+    wait_ends_at_ = std::min(first, now + kMaxWait);
+    is_waiting_ = true;
+    timer_.expires_after(wait_ends_at_ - now);
     timer_.async_wait([self = shared_from_this()](std::error_code ec) {
-      if (!ec) self->RunDue();
+      if (ec) return;
+      self->is_waiting_ = false;
+      self->RunDue();
+    });
+  }
+
+  void PostRun() {
+    if (std::exchange(is_run_posted_, true)) return;
+    asio::post(timer_.get_executor(), [self = shared_from_this()] {
+      self->is_run_posted_ = false;
+      self->RunDue();
     });
   }
 
@@ -77,6 +95,10 @@
   }
 
   asio::steady_timer timer_;
+  /// Whether timer_ is waiting, and the time at which it is to end.
+  bool is_waiting_ = false;
+  Instant wait_ends_at_{};
+  bool is_run_posted_ = false;
   TimerId next_id_ = 1;
   std::map<std::pair<Instant, TimerId>, std::function<void()>> timers_;
   std::map<TimerId, Instant> times_;
--- a/libs/http/include/pomelomill/http.h
+++ b/libs/http/include/pomelomill/http.h
@@ -6,3 +6,4 @@
 #include "pomelomill/http/http_error.h"
 #include "pomelomill/http/http_listener.h"
 #include "pomelomill/http/http_message.h"
+#include "pomelomill/http/persistent_http_client.h"
--- a/libs/http/include/pomelomill/http/http_message.h
+++ b/libs/http/include/pomelomill/http/http_message.h
@@ -18,6 +18,10 @@
 /// Compares header names, which do not depend on case.
 bool IsSameHeaderName(std::string_view a, std::string_view b);
 
+/// Whether the text contains a line break or a NUL, which a method or a header
+/// must not: a peer could take the rest for another header.
+bool HasLineBreak(std::string_view text);
+
 struct HttpRequest {
   std::string method = "GET";
   /// "http://ip:port/path".
@@ -27,7 +31,7 @@
   /// From the call to the complete response.
   Duration timeout = std::chrono::seconds(5);
   Duration connect_timeout = std::chrono::seconds(1);
-  /// libcurl sends a request again by itself, also a POST, when a reused
+  /// The clients send a request again by themselves, also a POST, when a reused
   /// connection dies before the first response byte. A request that must not
   /// be repeated sets this.
   bool use_fresh_connection = false;
--- a/libs/http/src/http_message.cc
+++ b/libs/http/src/http_message.cc
@@ -23,4 +23,9 @@
   return {};
 }
 
+bool HasLineBreak(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
 }  // namespace pomelomill
--- a/libs/http/src/transfer.cc
+++ b/libs/http/src/transfer.cc
@@ -1,10 +1,10 @@
 #include "transfer.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <string_view>
 #include <utility>
 
+#include "connect_error.h"
 #include "pomelomill/http/http_error.h"
 
 namespace pomelomill {
@@ -16,34 +16,12 @@
   return s.substr(first, s.find_last_not_of(" \t\r\n") - first + 1);
 }
 
-bool HasLineBreak(std::string_view s) {
-  return s.find_first_of(std::string_view("\r\n\0", 3)) !=
-         std::string_view::npos;
-}
-
-/// `os_error` is the errno of the failed attempt. libcurl leaves 0 when it
-/// could not create a socket.
-std::error_code ConnectError(long os_error) {
-  switch (os_error) {
-    case ECONNREFUSED:
-      return HttpError::kConnectionRefused;
-    case 0:
-    case EMFILE:
-    case ENFILE:
-    case ENOBUFS:
-    case ENOMEM:
-    case EADDRNOTAVAIL:
-      return HttpError::kNoSocket;
-    default:
-      return HttpError::kConnectFailed;
-  }
-}
-
 std::error_code ErrorOf(CURLcode code, long os_error) {
   switch (code) {
     case CURLE_OK:
       return {};
     case CURLE_COULDNT_CONNECT:
+      // libcurl leaves 0 when it could not create a socket.
       return ConnectError(os_error);
     case CURLE_COULDNT_RESOLVE_HOST:
       return HttpError::kConnectFailed;
@@ -67,12 +45,29 @@
 
 }  // namespace
 
+EasyHandle Transfer::MakeHandle(curl_closesocket_callback close_socket,
+                                void* client) {
+  EasyHandle handle(curl_easy_init());
+  CURL* h = handle.get();
+  if (h == nullptr) return handle;
+  curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(h, CURLOPT_PROXY, "");
+  curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(h, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
+  curl_easy_setopt(h, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt(h, CURLOPT_CLOSESOCKETDATA, client);
+  return handle;
+}
+
 Transfer::Transfer(HttpClient::RequestId id, HttpRequest request,
-                   HttpClient::Callback callback)
+                   HttpClient::Callback callback, EasyHandle handle)
     : id_(id),
       request_(std::move(request)),
       callback_(std::move(callback)),
-      handle_(curl_easy_init()) {}
+      handle_(std::move(handle)) {}
 
 bool Transfer::AddHeaders() {
   curl_slist* list = nullptr;
@@ -104,23 +99,19 @@
   if (curl_easy_setopt(h, CURLOPT_URL, request_.url.c_str()) != CURLE_OK)
     return false;
   curl_easy_setopt(h, CURLOPT_PRIVATE, this);
-  curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(h, CURLOPT_PROXY, "");
-  curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(h, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, Millis(request_.timeout));
   curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
                    Millis(request_.connect_timeout));
   curl_easy_setopt(h, CURLOPT_HTTPHEADER, header_list_.get());
-  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
   curl_easy_setopt(h, CURLOPT_WRITEDATA, this);
-  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
   curl_easy_setopt(h, CURLOPT_HEADERDATA, this);
-  if (request_.use_fresh_connection) {
-    curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
-  }
+  const long is_fresh = request_.use_fresh_connection ? 1 : 0;
+  curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, is_fresh);
+  curl_easy_setopt(h, CURLOPT_FORBID_REUSE, is_fresh);
+  // The handle may have carried another method before: CURLOPT_HTTPGET undoes
+  // CURLOPT_NOBODY and CURLOPT_POSTFIELDS.
+  curl_easy_setopt(h, CURLOPT_HTTPGET, 1L);
+  curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, nullptr);
   if (request_.method == "HEAD") {
     curl_easy_setopt(h, CURLOPT_NOBODY, 1L);
   } else if (request_.method != "GET" || !request_.body.empty()) {
@@ -187,6 +178,7 @@
   long os_error = 0;
   curl_easy_getinfo(handle_.get(), CURLINFO_OS_ERRNO, &os_error);
   result.error = ErrorOf(code, os_error);
+  is_handle_reusable_ = code == CURLE_OK && os_error == 0;
   long status = 0;
   curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
   response_.status = static_cast<int>(status);
@@ -198,4 +190,8 @@
   return result;
 }
 
+EasyHandle Transfer::ReleaseHandle() {
+  return is_handle_reusable_ ? std::move(handle_) : nullptr;
+}
+
 }  // namespace pomelomill
--- a/libs/http/test/http_client_test.cc
+++ b/libs/http/test/http_client_test.cc
@@ -41,6 +41,8 @@
   }
   std::size_t requests() const { return requests_; }
   std::size_t connections() const { return connections_; }
+  /// Request line and headers of each request.
+  const std::vector<std::string>& heads() const { return heads_; }
   void Close() {
     acceptor_.close();
     for (const auto& it : sessions_) {
@@ -67,26 +69,30 @@
   }
 
   void Read(const std::shared_ptr<Session>& session) {
-    asio::async_read_until(session->socket, session->buf, "\r\n\r\n",
-                           [this, session](std::error_code ec, std::size_t n) {
-                             if (ec) return;
-                             session->buf.consume(n);
-                             if (requests_ >= replies_.size()) return;
-                             const Reply& reply = replies_[requests_++];
-                             std::error_code ignored;
-                             asio::write(session->socket,
-                                         asio::buffer(reply.text), ignored);
-                             if (reply.closes) {
-                               session->socket.close(ignored);
-                             } else {
-                               Read(session);
-                             }
-                           });
+    asio::async_read_until(
+        session->socket, session->buf, "\r\n\r\n",
+        [this, session](std::error_code ec, std::size_t n) {
+          if (ec) return;
+          const auto* const text =
+              static_cast<const char*>(session->buf.data().data());
+          heads_.emplace_back(text, n);
+          session->buf.consume(session->buf.size());
+          if (requests_ >= replies_.size()) return;
+          const Reply& reply = replies_[requests_++];
+          std::error_code ignored;
+          asio::write(session->socket, asio::buffer(reply.text), ignored);
+          if (reply.closes) {
+            session->socket.close(ignored);
+          } else {
+            Read(session);
+          }
+        });
   }
 
   tcp::acceptor acceptor_;
   std::vector<Reply> replies_;
   std::vector<std::shared_ptr<Session>> sessions_;
+  std::vector<std::string> heads_;
   std::size_t requests_ = 0;
   std::size_t connections_ = 0;
 };
@@ -94,7 +100,11 @@
 constexpr char kOk[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\nok";
 
-HttpResult Exchange(asio::io_context& context, HttpClient& client,
+/// Both clients keep the same promises.
+#define CLIENTS HttpClient, PersistentHttpClient
+
+template <typename Client>
+HttpResult Exchange(asio::io_context& context, Client& client,
                     HttpRequest request) {
   std::optional<HttpResult> result;
   client.Send(std::move(request), [&](HttpResult r) { result = std::move(r); });
@@ -105,10 +115,12 @@
 
 // Guards against responses that are lost or altered between libcurl and the
 // callback, and against connections that are not reused.
-TEST_CASE("a complete response arrives whole and its connection is reused") {
+TEST_CASE_TEMPLATE(
+    "a complete response arrives whole and its connection is reused", Client,
+    CLIENTS) {
   asio::io_context context;
   ScriptedServer server(context, {{kOk}, {kOk}});
-  HttpClient client(context);
+  Client client(context);
   for (int i = 0; i < 2; ++i) {
     const HttpResult r = Exchange(context, client, {.url = server.url()});
     CHECK_FALSE(r.error);
@@ -121,7 +133,7 @@
 }
 
 // Guards against a truncated response that is passed on as complete.
-TEST_CASE("truncated responses are errors") {
+TEST_CASE_TEMPLATE("truncated responses are errors", Client, CLIENTS) {
   const std::vector<std::string> texts = {
       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
@@ -131,7 +143,7 @@
     CAPTURE(text);
     asio::io_context context;
     ScriptedServer server(context, {{text, true}});
-    HttpClient client(context);
+    Client client(context);
     const HttpResult r = Exchange(context, client, {.url = server.url()});
     CHECK(r.error == HttpError::kTruncated);
     CHECK(r.may_have_been_sent);
@@ -142,13 +154,14 @@
 // Guards against libcurl's own repeat of a POST on a reused connection that
 // dies after the request was read: a request that must not be repeated would
 // run twice.
-TEST_CASE("a fresh connection keeps libcurl from repeating a request") {
+TEST_CASE_TEMPLATE("a fresh connection keeps a client from repeating a request",
+                   Client, CLIENTS) {
   const std::vector<ScriptedServer::Reply> replies = {
       {kOk}, {"", true}, {kOk}, {kOk}};
   {
     asio::io_context context;
     ScriptedServer server(context, replies);
-    HttpClient client(context);
+    Client client(context);
     Exchange(context, client, {.url = server.url()});
     Exchange(context, client, {.method = "POST", .url = server.url()});
     // The danger is real: without a fresh connection the request runs twice.
@@ -156,7 +169,7 @@
   }
   asio::io_context context;
   ScriptedServer server(context, replies);
-  HttpClient client(context);
+  Client client(context);
   Exchange(context, client, {.url = server.url()});
   const HttpResult r = Exchange(
       context, client,
@@ -168,11 +181,12 @@
 
 // Guards against "not run" for a request that went out, and against "unknown"
 // for one that certainly did not.
-TEST_CASE("only a failed connection proves that nothing was sent") {
+TEST_CASE_TEMPLATE("only a failed connection proves that nothing was sent",
+                   Client, CLIENTS) {
   asio::io_context context;
   ScriptedServer server(context, {});
   const std::string url = server.url();
-  HttpClient client(context);
+  Client client(context);
   const HttpResult timed_out =
       Exchange(context, client, {.url = url, .timeout = milliseconds(50)});
   CHECK(timed_out.error == HttpError::kTimeout);
@@ -185,10 +199,11 @@
 
 // Guards against a failure of this process that is taken for the end of the
 // peer's process.
-TEST_CASE("a process without descriptors does not blame the peer") {
+TEST_CASE_TEMPLATE("a process without descriptors does not blame the peer",
+                   Client, CLIENTS) {
   asio::io_context context;
   ScriptedServer server(context, {});
-  HttpClient client(context);
+  Client client(context);
   rlimit before{};
   REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
   rlimit low = before;
@@ -204,11 +219,37 @@
   CHECK_FALSE(r.may_have_been_sent);
 }
 
+// Guards against an exchange that inherits the method, the body or the outcome
+// of the one before it, whose libcurl handle it takes over.
+TEST_CASE("an exchange takes over nothing from the exchange before it") {
+  asio::io_context context;
+  ScriptedServer server(context, {{kOk}, {kOk}, {kOk, true}});
+  HttpClient client(context);
+  CHECK_FALSE(Exchange(context, client,
+                       {.method = "POST", .url = server.url(), .body = "a"})
+                  .error);
+  CHECK_FALSE(Exchange(context, client, {.url = server.url()}).error);
+  CHECK_FALSE(
+      Exchange(context, client, {.method = "HEAD", .url = server.url()}).error);
+  REQUIRE(server.heads().size() == 3);
+  CHECK(server.heads()[0].starts_with("POST /x HTTP/1.1\r\n"));
+  CHECK(server.heads()[0].find("Content-Length: 1\r\n") != std::string::npos);
+  CHECK(server.heads()[1].starts_with("GET /x HTTP/1.1\r\n"));
+  CHECK(server.heads()[1].find("Content-Length") == std::string::npos);
+  CHECK(server.heads()[2].starts_with("HEAD /x HTTP/1.1\r\n"));
+  const std::string url = server.url();
+  server.Close();
+  const HttpResult refused = Exchange(context, client, {.url = url});
+  CHECK(refused.error == HttpError::kConnectionRefused);
+  CHECK_FALSE(refused.may_have_been_sent);
+}
+
 // Guards against unbounded memory and header injection.
-TEST_CASE("oversize responses and malformed requests are refused") {
+TEST_CASE_TEMPLATE("oversize responses and malformed requests are refused",
+                   Client, CLIENTS) {
   asio::io_context context;
   ScriptedServer server(context, {{kOk}});
-  HttpClient client(context);
+  Client client(context);
   const HttpResult large =
       Exchange(context, client, {.url = server.url(), .max_response_bytes = 1});
   CHECK(large.error == HttpError::kTooLarge);
@@ -230,5 +271,104 @@
   context.run_for(milliseconds(20));
 }
 
+// Guards against responses that are taken for complete, mixed up or accepted
+// with bytes that nobody asked for.
+TEST_CASE("a persistent connection carries one response after the other") {
+  asio::io_context context;
+  ScriptedServer server(
+      context,
+      {{"HTTP/1.1 100 Continue\r\n\r\n" + std::string(kOk)},
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"},
+       {std::string(kOk) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+       {kOk}});
+  PersistentHttpClient client(context);
+  CHECK(Exchange(context, client, {.url = server.url()}).response.body == "ok");
+  CHECK(Exchange(context, client, {.url = server.url()}).response.body ==
+        "abcde");
+  CHECK(server.connections() == 1);
+  CHECK(Exchange(context, client, {.url = server.url()}).error ==
+        HttpError::kFailed);
+  CHECK(Exchange(context, client, {.url = server.url()}).response.body == "ok");
+  CHECK(server.connections() == 2);
+}
+
+// Guards against the loss of a call because its peer closed the idle
+// connection at that moment, and against a third attempt.
+TEST_CASE("a request is repeated once when a reused connection has ended") {
+  asio::io_context context;
+  ScriptedServer server(context,
+                        {{kOk}, {"", true}, {kOk}, {"", true}, {"", true}});
+  PersistentHttpClient client(context);
+  CHECK_FALSE(Exchange(context, client, {.url = server.url()}).error);
+  const HttpResult repeated =
+      Exchange(context, client, {.method = "POST", .url = server.url()});
+  CHECK(repeated.response.body == "ok");
+  CHECK(server.requests() == 3);
+  const HttpResult lost = Exchange(context, client, {.url = server.url()});
+  CHECK(lost.error == HttpError::kConnectionClosed);
+  CHECK(lost.may_have_been_sent);
+  CHECK(server.requests() == 5);
+}
+
+// Guards against a response to an exchange that has timed out reaching the next
+// exchange.
+TEST_CASE("a connection whose exchange timed out is not used again") {
+  asio::io_context context;
+  ScriptedServer server(context, {{""}, {kOk}});
+  PersistentHttpClient client(context);
+  CHECK(Exchange(context, client,
+                 {.url = server.url(), .timeout = milliseconds(30)})
+            .error == HttpError::kTimeout);
+  CHECK(Exchange(context, client, {.url = server.url()}).response.body == "ok");
+  CHECK(server.connections() == 2);
+}
+
+// Guards against a second Host header, by which no queue is found.
+TEST_CASE_TEMPLATE("a given Host header replaces the address", Client,
+                   CLIENTS) {
+  asio::io_context context;
+  ScriptedServer server(context, {{kOk}});
+  Client client(context);
+  CHECK_FALSE(
+      Exchange(context, client,
+               {.url = server.url(), .headers = {{"Host", "shop.example"}}})
+          .error);
+  const std::string& head = server.heads().at(0);
+  CHECK(head.find("Host: shop.example\r\n") != std::string::npos);
+  CHECK(head.find("127.0.0.1") == std::string::npos);
+}
+
+// Guards against descriptors that are kept for peers that were called once.
+TEST_CASE("few idle connections are kept to one address") {
+  asio::io_context context;
+  ScriptedServer server(context, std::vector<ScriptedServer::Reply>(20, {kOk}));
+  PersistentHttpClient client(context, {.max_idle_connections_per_host = 2});
+  const auto send_ten = [&] {
+    int ended = 0;
+    for (int i = 0; i < 10; ++i)
+      client.Send({.url = server.url()}, [&](const HttpResult&) { ++ended; });
+    context.restart();
+    while (ended < 10) context.run_one();
+  };
+  send_ten();
+  CHECK(server.connections() == 10);
+  send_ten();
+  CHECK(server.connections() == 18);
+}
+
+TEST_CASE("a destroyed client runs no callback") {
+  asio::io_context context;
+  ScriptedServer server(context, {{""}});
+  {
+    PersistentHttpClient client(context);
+    client.Send({.url = server.url()},
+                [](const HttpResult&) { FAIL("callback ran"); });
+    context.run_for(milliseconds(5));
+    CHECK(server.requests() == 1);
+  }
+  context.run_for(milliseconds(20));
+}
+
 }  // namespace
 }  // namespace pomelomill
--- a/libs/jobserver/include/pomelomill/jobserver/job_server.h
+++ b/libs/jobserver/include/pomelomill/jobserver/job_server.h
@@ -16,7 +16,7 @@
 
 namespace pomelomill {
 
-class HttpClient;
+class PersistentHttpClient;
 
 /// Callbacks by which a JobServer reaches its process.
 struct JobServerHooks {
@@ -32,9 +32,10 @@
 /// thread of one Asio context.
 class JobServer {
  public:
-  JobServer(asio::io_context& context, TimerService& timers, HttpClient& http,
-            const PlatformHooks& platform, const JobServiceSettings& settings,
-            IncarnationId incarnation, JobServerHooks hooks);
+  JobServer(asio::io_context& context, TimerService& timers,
+            PersistentHttpClient& http, const PlatformHooks& platform,
+            const JobServiceSettings& settings, IncarnationId incarnation,
+            JobServerHooks hooks);
   ~JobServer();
   JobServer(const JobServer&) = delete;
   JobServer& operator=(const JobServer&) = delete;
--- a/libs/jobserver/src/job_lookup.cc
+++ b/libs/jobserver/src/job_lookup.cc
@@ -54,8 +54,9 @@
 
 }  // namespace
 
-JobLookup::JobLookup(const TransactionClient& store, HttpClient& peers,
-                     const ClusterView& view, LocalPools local)
+JobLookup::JobLookup(const TransactionClient& store,
+                     PersistentHttpClient& peers, const ClusterView& view,
+                     LocalPools local)
     : store_(store), peers_(peers), view_(view), local_(std::move(local)) {}
 
 void JobLookup::CacheLocation(const JobId& job, const JobLocation& location) {
@@ -167,7 +168,7 @@
             });
 }
 
-void QueryPeer(HttpClient& peers, const std::string& address,
+void QueryPeer(PersistentHttpClient& peers, const std::string& address,
                const std::string& path,
                std::function<void(Result<std::string>)> done) {
   peers.Send(PeerRequest(address, path),
--- a/libs/jobserver/src/job_lookup.h
+++ b/libs/jobserver/src/job_lookup.h
@@ -10,7 +10,7 @@
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/dispatch/job_progress.h"
-#include "pomelomill/http/http_client.h"
+#include "pomelomill/http/persistent_http_client.h"
 #include "pomelomill/store/transaction_client.h"
 #include "store_records.h"
 
@@ -32,7 +32,7 @@
 /// jobs is known to the owner only.
 class JobLookup {
  public:
-  JobLookup(const TransactionClient& store, HttpClient& peers,
+  JobLookup(const TransactionClient& store, PersistentHttpClient& peers,
             const ClusterView& view, LocalPools local);
 
   /// Caches the location of a job, which saves reading it from the store.
@@ -66,7 +66,7 @@
                        StoreCallback<std::optional<JobPhase>> done);
 
   const TransactionClient& store_;
-  HttpClient& peers_;
+  PersistentHttpClient& peers_;
   const ClusterView& view_;
   LocalPools local_;
   std::map<JobId, JobLocation> locations_;
@@ -79,7 +79,7 @@
 /// Sends a GET request for `path` to the entry at `address` ("HOST:PORT") and
 /// passes on the body of its response. Fails with the HTTP client's error, or
 /// with StoreError::kUnavailable for a status other than 200.
-void QueryPeer(HttpClient& peers, const std::string& address,
+void QueryPeer(PersistentHttpClient& peers, const std::string& address,
                const std::string& path,
                std::function<void(Result<std::string>)> done);
 
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -8,8 +8,8 @@
 #include "job_lookup.h"
 #include "job_metrics.h"
 #include "loop_monitor.h"
-#include "pomelomill/http/http_client.h"
 #include "pomelomill/http/http_listener.h"
+#include "pomelomill/http/persistent_http_client.h"
 #include "pomelomill/jobserver/coordinator.h"
 #include "pomelomill/jobserver/job_api_router.h"
 #include "pomelomill/store/store_error.h"
@@ -50,9 +50,10 @@
 
 class JobServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& context, TimerService& timers, HttpClient& http,
-       const PlatformHooks& platform, JobServiceSettings settings,
-       IncarnationId incarnation, JobServerHooks hooks)
+  Impl(asio::io_context& context, TimerService& timers,
+       PersistentHttpClient& http, const PlatformHooks& platform,
+       JobServiceSettings settings, IncarnationId incarnation,
+       JobServerHooks hooks)
       : context_(context),
         timers_(timers),
         platform_(WithMetrics(platform)),
@@ -393,7 +394,7 @@
 };
 
 JobServer::JobServer(asio::io_context& context, TimerService& timers,
-                     HttpClient& http, const PlatformHooks& platform,
+                     PersistentHttpClient& http, const PlatformHooks& platform,
                      const JobServiceSettings& settings,
                      IncarnationId incarnation, JobServerHooks hooks)
     : impl_(std::make_shared<Impl>(context, timers, http, platform, settings,
--- a/libs/jobserver/test/job_lookup_test.cc
+++ b/libs/jobserver/test/job_lookup_test.cc
@@ -49,7 +49,7 @@
   }
 
   asio::io_context context;
-  HttpClient peers;
+  PersistentHttpClient peers;
   ClusterView view;
   TransactionClient store;
   bool is_store_down = false;
--- a/libs/jobserver/test/job_server_test.cc
+++ b/libs/jobserver/test/job_server_test.cc
@@ -161,7 +161,7 @@
 
   asio::io_context context_;
   AsioTimerService timers_;
-  HttpClient http_;
+  PersistentHttpClient http_;
   PlatformHooks hooks_;
   JobServiceSettings settings_;
   std::optional<JobServer> server_;
