--- a/libs/dispatch/test/peak_test.cc
+++ b/libs/dispatch/test/peak_test.cc
@@ -413,6 +413,26 @@
   }
 }
 
+// Guards against an order in which jobs that are late already take the places of
+// those that can still be in time, so that a peak of several times the capacity
+// makes nearly all jobs late and the pool serves fewer in time than at its
+// capacity.
+TEST_CASE("no fewer jobs are in time when a load peak is larger") {
+  // Jobs a second at which the peak takes the whole pool.
+  constexpr double kCapacityPerS = 2;
+  int at_capacity = 0;
+  for (const int times : {1, 2, 3, 5}) {
+    CAPTURE(times);
+    LoadResult outcome;
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+      outcome += SimulateDispatcher(PeakLoad(seed, times * kCapacityPerS, 3));
+    MESSAGE("times " << times << " jobs " << outcome.jobs << " in time "
+                     << outcome.in_time << " expired " << outcome.expired);
+    if (times == 1) at_capacity = outcome.in_time;
+    CHECK(outcome.in_time >= at_capacity);
+  }
+}
+
 TEST_CASE("load peaks: no worse than first come, first served") {
   // Guards against fewer jobs in time, or more that are finished too late to be
   // of use, than in order of arrival. The load peaks are below, above and far
