Count a VM as down from its own maintenance on, not from a call that was busy

Cause: the planner kept the worker of the first maintenance call, also when the answer was busy, which does nothing. With another worker at the next call it took the accepted call for a repeat of one that had taken effect, and counted the VM as back while it went down.

Change: only a call without an answer is remembered. Test, failed before: wave_planner_test, "a VM that was busy counts as down once its call is accepted".

--- a/libs/fleet/include/pomelomill/fleet/wave_planner.h
+++ b/libs/fleet/include/pomelomill/fleet/wave_planner.h
@@ -101,9 +101,10 @@
   struct VmProgress {
     Stage stage = Stage::kPending;
     WorkerId worker;
-    /// The VM's worker at the first maintenance call. A different worker at a
-    /// later call shows that an earlier call has taken effect.
-    WorkerId first_requested_worker;
+    /// The VM's worker at the first maintenance call that may have taken effect
+    /// without an answer; empty when there was none. A different worker at a
+    /// later call that is accepted shows that the earlier one has taken effect.
+    WorkerId first_unanswered_worker;
     /// Earliest time of the next call; zero until a call has been answered or
     /// has timed out.
     Instant retry_at{};
--- a/libs/fleet/src/wave_planner.cc
+++ b/libs/fleet/src/wave_planner.cc
@@ -86,7 +86,8 @@
   switch (outcome) {
     case VmCallOutcome::kAccepted:
       progress.stage = Stage::kDown;
-      if (progress.first_requested_worker != progress.worker) {
+      if (!progress.first_unanswered_worker.empty() &&
+          progress.first_unanswered_worker != progress.worker) {
         // An earlier, unanswered call has already taken effect, so the VM is
         // back with a new worker.
         progress.stage = Stage::kDone;
@@ -96,8 +97,11 @@
     case VmCallOutcome::kRefused:
       progress.stage = Stage::kSkipped;
       break;
-    case VmCallOutcome::kBusy:
     case VmCallOutcome::kUnknown:
+      if (progress.first_unanswered_worker.empty())
+        progress.first_unanswered_worker = progress.worker;
+      [[fallthrough]];
+    case VmCallOutcome::kBusy:
       // The call is repeated, which is safe: the platform accepts it without a
       // second maintenance if the first call took effect. Until then the VM
       // counts as down.
@@ -204,8 +208,6 @@
     if (!was_requested && down >= wave.wave.max_down) continue;
     down += !CountsAsDown(id, progress);
     progress.stage = Stage::kRequested;
-    if (progress.first_requested_worker.empty())
-      progress.first_requested_worker = progress.worker;
     plan.maintenance_calls.push_back({id, wave.wave.id});
   }
 }
--- a/libs/fleet/test/wave_planner_test.cc
+++ b/libs/fleet/test/wave_planner_test.cc
@@ -60,6 +60,35 @@
   CHECK(plan.maintenance_calls[0].vm == requested);
 }
 
+TEST_CASE("a VM that was busy counts as down once its call is accepted") {
+  // Guards against exceeding max_down: a new owner of the fleet finds VMs that
+  // its predecessor is moving. They are busy at the first call and have another
+  // worker at the next one, which is the first that takes effect.
+  auto vms = Vms(2, "p");
+  WavePlanner planner({.max_pool_share = 1});
+  planner.AddWave(WaveOf(vms, 1), {});
+  planner.SetVms(vms, {});
+  planner.Plan(At(0));
+  planner.OnWorkerEmptied(vms[0].worker);
+  REQUIRE(planner.Plan(At(0)).maintenance_calls.size() == 1);
+  planner.OnMaintenanceAnswer(WaveId("1"), vms[0].vm, VmCallOutcome::kBusy,
+                              At(10));
+  vms[0].worker = WorkerId("next");
+  planner.SetVms(vms, {});
+  planner.Plan(At(2'000));
+  planner.OnWorkerEmptied(vms[0].worker);
+  const auto calls = planner.Plan(At(2'100)).maintenance_calls;
+  REQUIRE(calls.size() == 1);
+  REQUIRE(calls[0].vm == vms[0].vm);
+  planner.OnMaintenanceAnswer(WaveId("1"), vms[0].vm, VmCallOutcome::kAccepted,
+                              At(2'110));
+  planner.OnWorkerEmptied(vms[1].worker);
+  CHECK(planner.Plan(At(2'120)).maintenance_calls.empty());
+  vms[0].worker = WorkerId("after");
+  planner.SetVms(vms, {});
+  CHECK(planner.Plan(At(4'200)).maintenance_calls.size() == 1);
+}
+
 TEST_CASE("VMs of a spare pool are maintained without being emptied") {
   const auto vms = Vms(3, "spare");
   WavePlanner planner;
