Check the right to send an order again when it is sent

Starts, moves and maintenance calls now ask for the right once more just before they are sent.

Not shown by a failing test: the new overload_test case, "a decision that outlasts the lease starts nothing", passes without the change too, because the workers of that world have seen the next owner's token by then. What remains is a process that is stopped between the check and the send.

--- a/libs/jobserver/src/fleet_manager.cc
+++ b/libs/jobserver/src/fleet_manager.cc
@@ -318,6 +318,9 @@
   }
 
   void Move(const SizePlan::Move& move) {
+    // Checked again, since the decision may have outlasted the lease.
+    if (!MaySendOrders())
+      return sizer_.OnMoveAnswer(move.vm, VmCallOutcome::kBusy, timers_.Now());
     Event("move", {{"vm", move.vm.value()}, {"to", move.to.value()}});
     platform_.fleet.move(
         move.vm, move.to, settings_.entry, token_,
@@ -376,6 +379,10 @@
   }
 
   void Maintain(const WavePlan::MaintenanceCall& order) {
+    if (!MaySendOrders()) {
+      return wave_planner_.OnMaintenanceAnswer(
+          order.wave, order.vm, VmCallOutcome::kBusy, timers_.Now());
+    }
     Event("maintain", {{"vm", order.vm.value()}, {"wave", order.wave.value()}});
     platform_.fleet.maintain(
         order.vm, order.wave, settings_.entry, token_,
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -439,9 +439,11 @@
 
   void Send(const StartOrder& order) {
     const auto it = links_.find(order.worker);
-    const auto deadline = it == links_.end() || !it->second->may_start()
-                              ? std::nullopt
-                              : it->second->order_deadline_ms();
+    // Checked again, since the decision may have outlasted the lease.
+    const auto deadline =
+        it == links_.end() || !it->second->may_start() || !MayStartTasks()
+            ? std::nullopt
+            : it->second->order_deadline_ms();
     if (!deadline) {
       dispatcher_->OnStartResult(order.worker, order.key, order.run,
                                  StartOutcome::kUnhealthy, 0, timers_.Now());
--- a/libs/jobserver/test/overload_test.cc
+++ b/libs/jobserver/test/overload_test.cc
@@ -341,6 +341,31 @@
   RunSeeds(1, 1, {.has_unsent_calls = true});
 }
 
+TEST_CASE("a decision that outlasts the lease starts nothing") {
+  // Guards against orders of a process that was delayed between the check of
+  // its right and the order: the lease has expired meanwhile.
+  JobWorld world({.run_time = milliseconds(500), .can_overload = true});
+  world.Advance(seconds(3));
+  const int owner = world.Owner(0);
+  REQUIRE(owner >= 0);
+  world.SetDecisionTime(static_cast<std::size_t>(owner), "dispatch",
+                        seconds(4));
+  world.Submit(0, "job", 0, ChainJob(1, 3));
+  world.Advance(seconds(10));
+  world.SetDecisionTime(static_cast<std::size_t>(owner), "dispatch", {});
+  const std::string entry = "e" + std::to_string(owner) + " ";
+  for (const std::string& it : world.events()) {
+    CAPTURE(it);
+    const bool is_started =
+        it.find(entry + "owner task-start-answer") != std::string::npos &&
+        it.find("detail=started") != std::string::npos;
+    CHECK_FALSE(is_started);
+  }
+  world.Advance(seconds(20));
+  CHECK(world.Phase("job", 0) == "complete");
+  CHECK(world.Violations().empty());
+}
+
 TEST_CASE("successive fleet owners send no orders for one VM within 3 s") {
   for (const std::uint64_t seed : {1, 67})
     RunSeed(seed, {.has_planned_work = true});
