--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,11 +5,12 @@
 # by size. --jobs prints those of the job scheduler at 95% full: scripts/measure.sh
 # --jobs [WORKERS,TEAMS]..., by default 100,9 400,35 1700,140. --traffic prints
 # requests a second for a core of one entry and the latency that it adds, --slots
-# the ways to split the slots of endpoints between entries.
+# the ways to split the slots of endpoints between entries. --owner prints the
+# processor time of an entry of the job service for each run of a task.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 case ${1:-} in
-  --traffic | --slots)
+  --traffic | --slots | --owner)
     tool=measure_${1#--}
     shift
     scripts/build.sh release "$tool" >&2
@@ -31,7 +32,7 @@
     --seed) arguments+=(--seed "$2") && shift 2 ;;
     --scenario) scenarios+=("$2") && shift 2 ;;
     --slopes) slopes=1 && shift ;;
-    *) echo "usage: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes | --jobs [WORKERS,TEAMS]... | --traffic | --slots" >&2 && exit 2 ;;
+    *) echo "usage: scripts/measure.sh [--seed S] [--scenario FILE]... | --slopes | --jobs [WORKERS,TEAMS]... | --traffic | --slots | --owner" >&2 && exit 2 ;;
   esac
 done
 if [ "$slopes" = 1 ]; then
