Repeat orders and writes only as fast as answers come

Cause: repeated orders after fixed times. On a full link every answer is late, and up to three more copies of 4 KB each made it later still.

Change: the time until a repeat is four times that of the slowest of the latest answers, from 100 ms on, and nothing is repeated beyond the timeout of the first copy; the timeout of commits falls by a quarter with each quick answer in place of all at once.

--- a/libs/jobserver/src/order_repeater.cc
+++ b/libs/jobserver/src/order_repeater.cc
@@ -43,12 +43,18 @@
 
 OrderRepeater::OrderRepeater(const WorkerCalls& calls, TimerService& timers,
                              OrderRepeaterOptions options)
-    : calls_(calls), timers_(timers), options_(std::move(options)) {}
+    : calls_(calls),
+      timers_(timers),
+      options_(std::move(options)),
+      delay_(std::make_shared<AnswerTimeout>(options_.shortest_delay,
+                                             options_.longest_delay)) {}
 
 void OrderRepeater::Repeat(const std::function<void()>& send,
                            const std::function<bool()>& may_repeat) {
-  for (const Duration it : options_.repeat_after) {
-    timers_.ScheduleAfter(it, [send, may_repeat] {
+  for (const int it : options_.repeat_at) {
+    const Duration delay = it * delay_->current();
+    if (delay >= options_.longest_delay) return;
+    timers_.ScheduleAfter(delay, [send, may_repeat] {
       if (may_repeat()) send();
     });
   }
@@ -64,10 +70,14 @@
   pending->request = request;
   pending->on_result = std::move(on_result);
   pending->on_settled = std::move(on_settled);
-  const auto send = [&calls = calls_, pending] {
+  const auto send = [&calls = calls_, &timers = timers_, delay = delay_,
+                     pending] {
     ++pending->in_transit;
     calls.start(pending->worker, pending->request,
-                [pending](const StartResponse& response) {
+                [&timers, delay, pending,
+                 sent_at = timers.Now()](const StartResponse& response) {
+                  if (response.outcome != StartOutcome::kUnknown)
+                    delay->OnAnswer(timers.Now() - sent_at);
                   pending->OnAnswer(response);
                 });
   };
--- a/libs/jobserver/src/order_repeater.h
+++ b/libs/jobserver/src/order_repeater.h
@@ -1,19 +1,24 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <vector>
 
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/jobserver/worker_calls.h"
+#include "pomelomill/store/answer_timeout.h"
 
 namespace pomelomill {
 
 struct OrderRepeaterOptions {
-  /// Times after the first sending at which an order without an answer is sent
-  /// again. A healthy worker answers within a few milliseconds.
-  std::vector<Duration> repeat_after = {std::chrono::milliseconds(100),
-                                        std::chrono::milliseconds(250),
-                                        std::chrono::milliseconds(500)};
+  /// Bounds of the time after which an order without an answer is sent again;
+  /// it follows the time that answers take. A healthy worker on an idle link
+  /// answers within a few milliseconds. No order is repeated once its first
+  /// copy has timed out, after 0.8 s.
+  Duration shortest_delay = std::chrono::milliseconds(100);
+  Duration longest_delay = std::chrono::milliseconds(800);
+  /// Multiples of that time at which an order is sent again.
+  std::vector<int> repeat_at = {1, 2, 4};
 };
 
 /// Sends orders to workers, and sends those that get no answer again: workers
@@ -22,7 +27,8 @@
 /// Answers the load pattern of workers or networks that lose a part of the
 /// answers or carry orders out seconds late: without a repeat, each task whose
 /// start is lost waits for the call's timeout, a stop, and the report that the
-/// run is not there.
+/// run is not there. On an overloaded link all answers are late, and nothing is
+/// repeated.
 class OrderRepeater {
  public:
   OrderRepeater(const WorkerCalls& calls, TimerService& timers,
@@ -51,6 +57,8 @@
   const WorkerCalls& calls_;
   TimerService& timers_;
   const OrderRepeaterOptions options_;
+  /// Shared with the callbacks of calls that outlive this object.
+  std::shared_ptr<AnswerTimeout> delay_;
 };
 
 }  // namespace pomelomill
--- a/libs/store/include/pomelomill/store/answer_timeout.h
+++ b/libs/store/include/pomelomill/store/answer_timeout.h
@@ -20,7 +20,9 @@
 
   /// A call was answered after this time.
   void OnAnswer(Duration took) {
-    current_ = std::clamp(kAnswerTimes * took, shortest_, longest_);
+    // Falls slowly, since calls of one kind differ in size.
+    current_ = std::clamp(std::max(kAnswerTimes * took, current_ * 3 / 4),
+                          shortest_, longest_);
   }
   /// A call was not answered: the answer is lost, or the store has become slow.
   void OnNoAnswer() { current_ = std::min(2 * current_, longest_); }
--- a/libs/store/test/answer_timeout_test.cc
+++ b/libs/store/test/answer_timeout_test.cc
@@ -17,14 +17,14 @@
 TEST_CASE("the timeout is short while answers are quick") {
   AnswerTimeout timeout(kShortest, kLongest);
   CHECK(timeout.current() == kLongest);
-  timeout.OnAnswer(milliseconds(4));
+  for (int i = 0; i < 20; ++i) timeout.OnAnswer(milliseconds(4));
   CHECK(timeout.current() == kShortest);
 }
 
 // Guards against a slow store on which no call is ever answered in time.
 TEST_CASE("the timeout grows until a slow store answers in time") {
   AnswerTimeout timeout(kShortest, kLongest);
-  timeout.OnAnswer(milliseconds(4));
+  for (int i = 0; i < 20; ++i) timeout.OnAnswer(milliseconds(4));
   const Duration slow = milliseconds(300);
   int unanswered = 0;
   for (; timeout.current() < slow; ++unanswered) timeout.OnNoAnswer();
@@ -35,4 +35,14 @@
   CHECK(timeout.current() == kLongest);
 }
 
+// Guards against repeats on an overloaded link, where small calls are answered
+// in time between large ones.
+TEST_CASE("one quick answer does not make the timeout short") {
+  AnswerTimeout timeout(kShortest, kLongest);
+  for (int i = 0; i < 20; ++i) timeout.OnAnswer(milliseconds(4));
+  timeout.OnAnswer(milliseconds(200));
+  timeout.OnAnswer(milliseconds(4));
+  CHECK(timeout.current() >= milliseconds(600));
+}
+
 }  // namespace pomelomill
