--- a/libs/dispatch/test/peak_test.cc
+++ b/libs/dispatch/test/peak_test.cc
@@ -413,10 +413,10 @@
   }
 }
 
-// Guards against an order in which jobs that are late already take the places of
-// those that can still be in time, so that a peak of several times the capacity
-// makes nearly all jobs late and the pool serves fewer in time than at its
-// capacity.
+// Guards against an order in which jobs that are late already take the places
+// of those that can still be in time, so that a peak of several times the
+// capacity makes nearly all jobs late and the pool serves fewer in time than at
+// its capacity.
 TEST_CASE("no fewer jobs are in time when a load peak is larger") {
   // Jobs a second at which the peak takes the whole pool.
   constexpr double kCapacityPerS = 2;
