Keep the platform's names of the measuring program in platform/

Cause: tools/measure_owner spoke the workers' calls and the callers' bodies by itself, so that wire names stood outside platform/. Change: its stand-in workers and the body of its jobs are platform/stand_in, a library that tools link and the deploy build does not.

--- a/tools/measure_owner/main.cc
+++ b/tools/measure_owner/main.cc
@@ -22,7 +22,6 @@
 #include "pomelomill/jobserver/job_server.h"
 #include "pomelomill/jobtesting/fake_kv_store.h"
 #include "records.h"
-#include "worker_api.h"
 #include "worker_server.h"
 
 namespace pomelomill {
@@ -31,8 +30,7 @@
 constexpr std::uint16_t kWorkerPort = 18'700;
 constexpr std::uint16_t kEntryPort = 18'800;
 constexpr const char* kPool = "sketches";
-/// Payload of a job, as long as the platform permits.
-constexpr std::size_t kPayloadBytes = 4'000;
+constexpr std::uint32_t kTasksOfJob = 8;
 /// Time for the entry to acquire the pool and to reach all workers.
 constexpr Duration kSetupTime = std::chrono::seconds(4);
 
@@ -83,23 +81,22 @@
 
 Result<ListedWorker> MakeWorker(const StoredKey& entry) {
   ListedWorker worker;
-  worker.spec.id = WorkerId(entry.key.substr(std::string("servers/").size()));
+  worker.spec.id =
+      WorkerId(entry.key.substr(std::string(platform::kWorkerPrefix).size()));
   worker.spec.capacity = {.cpu_millis = 32'000, .memory_mb = 131'072};
   worker.pool = PoolId(kPool);
   worker.address = entry.value;
   return worker;
 }
 
-std::string JobBody() {
-  return R"({"spec":")" + std::string(kPayloadBytes, 'x') +
-         R"(","steps":[{"count":8,"cpu":4500,"memMb":512,"estimateMs":640}]})";
-}
-
 /// Sends jobs at an even rate and counts what became of the answers.
 class Callers {
  public:
   Callers(TimerService& timers, HttpClient& http, const Load& load)
-      : timers_(timers), http_(http), load_(load), body_(JobBody()) {}
+      : timers_(timers),
+        http_(http),
+        load_(load),
+        body_(platform::JobBody(kTasksOfJob)) {}
 
   void Start() { SendNext(); }
   std::uint64_t accepted() const { return accepted_; }
@@ -174,8 +171,8 @@
   hooks.fleet.list = [](const auto& done) { done(std::vector<FleetVm>()); };
   store.Put(platform::kConfigKey, "1");
   for (std::uint32_t i = 0; i < load.workers; ++i) {
-    store.Put("servers/w" + std::to_string(i),
-              WorkerAddressText(i, kWorkerPort));
+    store.Put(platform::kWorkerPrefix + ("w" + std::to_string(i)),
+              platform::WorkerAddressText(i, kWorkerPort));
   }
   EventOutput output(timers,
                      {.file_descriptor = open("/dev/null", O_WRONLY),
@@ -235,7 +232,8 @@
   const pomelomill::Duration run_time =
       std::chrono::milliseconds(parsed["run-ms"].as<std::uint32_t>());
   const pid_t workers = pomelomill::RunInChild([&] {
-    pomelomill::ServeWorkers(load.workers, pomelomill::kWorkerPort, run_time);
+    pomelomill::platform::ServeWorkers(load.workers, pomelomill::kWorkerPort,
+                                       run_time);
   });
   const pid_t callers =
       pomelomill::RunInChild([&] { pomelomill::RunCallers(load); });
