--- a/app/dispatch/event_output.cc
+++ b/app/dispatch/event_output.cc
@@ -17,6 +17,8 @@
 #include <string>
 #include <utility>
 
+#include "pomelomill/base/json_text.h"
+
 namespace pomelomill {
 namespace {
 
@@ -67,10 +69,8 @@
 
 using Sink = logging::sinks::unlocked_sink<FileDescriptorBackend>;
 
-bool NeedsEscape(char c) { return c < ' ' || c > '~' || c == '"' || c == '\\'; }
-
 void AppendJsonString(std::string& line, std::string_view text) {
-  if (std::any_of(text.begin(), text.end(), NeedsEscape)) {
+  if (!IsPlainJsonText(text)) {
     line += nlohmann::json(text).dump(-1, ' ', false,
                                       nlohmann::json::error_handler_t::replace);
     return;
--- a/libs/base/include/pomelomill/base.h
+++ b/libs/base/include/pomelomill/base.h
@@ -8,6 +8,7 @@
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/base/hash.h"
 #include "pomelomill/base/ids.h"
+#include "pomelomill/base/json_text.h"
 #include "pomelomill/base/random.h"
 #include "pomelomill/base/result.h"
 #include "pomelomill/base/strong_id.h"
