--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -5,8 +5,10 @@
 #include <set>
 #include <utility>
 
+#include "dispatch_event_fields.h"
 #include "evacuation_tracker.h"
 #include "order_repeater.h"
+#include "plan_scheduler.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/jobserver/worker_link.h"
 #include "pomelomill/store/prefix_follower.h"
@@ -15,6 +17,7 @@
 #include "progress_writer.h"
 #include "store_keys.h"
 #include "store_records.h"
+#include "worker_backlogs.h"
 
 namespace pomelomill {
 namespace {
@@ -27,8 +30,7 @@
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 /// Period of the removal of ended jobs past their retention time.
 constexpr Duration kCleanupPeriod = std::chrono::seconds(5);
-/// At a load peak hundreds of reports a second would each cause a plan over all
-/// waiting jobs.
+/// Short compared with the run times of tasks.
 constexpr Duration kMinPlanInterval = std::chrono::milliseconds(4);
 /// Delay of the plan after an answer to a start while further starts wait for
 /// one, so that one plan serves several answers.
@@ -36,9 +38,6 @@
 /// Run numbers reserved for each owner, so that owners never share one. A task
 /// fails for good long before one owner has started it this often.
 constexpr std::uint32_t kRunNumbersPerOwner = 100'000;
-/// A worker that reports at least this many ended tasks for lack of
-/// acknowledgements is logged. About ten tasks a second end on a worker.
-constexpr std::size_t kBacklogThreshold = 50;
 
 }  // namespace
 
@@ -53,7 +52,10 @@
         pool_(std::move(pool)),
         token_(token),
         hooks_(std::move(hooks)),
-        orders_(platform_.workers, timers_) {}
+        orders_(platform_.workers, timers_),
+        plans_(timers_, kMinPlanInterval, [this] {
+          if (!is_halted_) Plan();
+        }) {}
 
   void Start(const FleetConfig& config) {
     config_ = config;
@@ -80,7 +82,8 @@
         platform_.store, timers_, pool_, token_,
         EvacuationTrackerHooks{
             .is_empty = [this](const WorkerId& it) { return IsEmpty(it); },
-            .on_retry = [this] { SchedulePlanAt(timers_.Now() + kRetryDelay); },
+            .on_retry =
+                [this] { plans_.ScheduleAt(timers_.Now() + kRetryDelay); },
             .on_report_finished =
                 [this](const WorkerId& worker, bool is_stored) {
                   Event("worker-emptied",
@@ -98,8 +101,7 @@
     writer_.reset();
     roster_.reset();
     evacuations_.reset();
-    for (const TimerId it : {plan_timer_, retry_timer_, cleanup_timer_})
-      timers_.Cancel(it);
+    for (const TimerId it : {retry_timer_, cleanup_timer_}) timers_.Cancel(it);
   }
 
   void OnConfig(const FleetConfig& config) {
@@ -243,7 +245,7 @@
         evacuations_->Add(worker, change.value);
         dispatcher_->CloseWorker(worker, timers_.Now());
       }
-      return SchedulePlan();
+      return plans_.Schedule();
     }
     if (change.is_removed) return;
     if (change.key.starts_with(cancels)) {
@@ -253,7 +255,7 @@
       } else {
         pending_cancels_.insert(id);
       }
-      return SchedulePlan();
+      return plans_.Schedule();
     }
     if (!change.key.starts_with(jobs)) return;
     const JobId id(change.key.substr(jobs.size()));
@@ -269,13 +271,13 @@
     dispatcher_->AddJob(added, timers_.Now());
     if (pending_cancels_.erase(id) != 0)
       dispatcher_->CancelJob(id, timers_.Now(), hooks_.wall_ms());
-    SchedulePlan();
+    plans_.Schedule();
   }
 
   void ApplyConfig() {
     for (const QueueConfig& it : config_.queues)
       dispatcher_->SetQueue(it.id, it.policy);
-    SchedulePlan();
+    plans_.Schedule();
   }
 
   /// A worker must be in the stored roster before tasks are started on it: the
@@ -309,7 +311,7 @@
     std::erase_if(links_, [&](const auto& it) {
       return it.second->is_lost() && !IsListed(it.first);
     });
-    SchedulePlan();
+    plans_.Schedule();
   }
 
   void EnsureLink(const WorkerAddress& worker) {
@@ -331,10 +333,13 @@
         .on_report =
             [this, id](const WorkerReport& report) {
               lost_workers_.erase(id);
-              LogBacklog(id, report.ended.size());
+              const std::size_t ends = report.ended.size();
+              if (backlogs_.Begins(id, ends))
+                Event("worker-backlog",
+                      {{"worker", id.value()}, {"ends", std::to_string(ends)}});
               dispatcher_->OnReport(id, report, timers_.Now(),
                                     hooks_.wall_ms());
-              SchedulePlan();
+              plans_.Schedule();
             },
         .on_unresponsive =
             [this, id](std::error_code ec) {
@@ -348,7 +353,7 @@
                     {{"worker", id.value()}, {"reason", reason}});
               lost_workers_.insert(id);
               dispatcher_->OnWorkerGone(id, timers_.Now());
-              SchedulePlan();
+              plans_.Schedule();
             },
         .on_fenced = [this] { ReportLost("a worker has seen a higher token"); },
         .ack_limit = [this, id] { return dispatcher_->AckLimit(id); },
@@ -358,15 +363,6 @@
         .may_send_orders = [this] { return MaySendOrders(); }};
   }
 
-  void LogBacklog(const WorkerId& id, std::size_t ends) {
-    if (ends < kBacklogThreshold) {
-      backlogged_workers_.erase(id);
-    } else if (backlogged_workers_.insert(id).second) {
-      Event("worker-backlog",
-            {{"worker", id.value()}, {"ends", std::to_string(ends)}});
-    }
-  }
-
   bool MaySendOrders() const {
     return !is_halted_ && timers_.Now() < hooks_.orders_allowed_until();
   }
@@ -384,25 +380,6 @@
     };
   }
 
-  /// Plans once for all changes that arrive within kMinPlanInterval.
-  void SchedulePlan() {
-    SchedulePlanAt(std::max(timers_.Now(), planned_at_ + kMinPlanInterval));
-  }
-
-  void SchedulePlanAt(Instant when) {
-    if (is_plan_scheduled_ && next_plan_at_ <= when) return;
-    timers_.Cancel(plan_timer_);
-    is_plan_scheduled_ = true;
-    next_plan_at_ = when;
-    plan_timer_ = timers_.ScheduleAt(when, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self == nullptr || self->is_halted_) return;
-      self->is_plan_scheduled_ = false;
-      self->planned_at_ = self->timers_.Now();
-      self->Plan();
-    });
-  }
-
   void Plan() {
     if (is_loaded_ && !is_releasing_) {
       if (MaySendOrders()) {
@@ -417,13 +394,13 @@
           hooks_.on_decision("dispatch", dispatcher_->active_jobs(),
                              timers_.Now() - began);
         }
-        if (!may_start) SchedulePlanAt(timers_.Now() + kRetryDelay);
+        if (!may_start) plans_.ScheduleAt(timers_.Now() + kRetryDelay);
         for (const StopOrder& it : plan.stops) Send(it);
         for (const StartOrder& it : plan.starts) Send(it);
         if (plan.next_plan_at)
-          SchedulePlanAt(std::max(*plan.next_plan_at, timers_.Now()));
+          plans_.ScheduleAt(std::max(*plan.next_plan_at, timers_.Now()));
       } else {
-        SchedulePlanAt(timers_.Now() + kRetryDelay);
+        plans_.ScheduleAt(timers_.Now() + kRetryDelay);
       }
     }
     if (is_loaded_ && !is_releasing_) evacuations_->ReportEmptyWorkers();
@@ -447,7 +424,7 @@
     if (!deadline) {
       dispatcher_->OnStartResult(order.worker, order.key, order.run,
                                  StartOutcome::kUnhealthy, 0, timers_.Now());
-      return SchedulePlan();
+      return plans_.Schedule();
     }
     const StartRequest request{.key = order.key,
                                .run = order.run,
@@ -466,9 +443,9 @@
                                            response.outcome, response.clock_ms,
                                            self->timers_.Now());
           if (response.outcome != StartOutcome::kStarted) {
-            self->SchedulePlan();
+            self->plans_.Schedule();
           } else if (self->dispatcher_->has_deferred_starts()) {
-            self->SchedulePlanAt(self->timers_.Now() + kDeferredStartDelay);
+            self->plans_.ScheduleAt(self->timers_.Now() + kDeferredStartDelay);
           }
         },
         it->second->TrackStart(*deadline));
@@ -489,7 +466,7 @@
               order.worker, order.key, order.run,
               result ? std::optional(*result) : std::nullopt,
               self->timers_.Now());
-          if (!result) self->SchedulePlan();
+          if (!result) self->plans_.Schedule();
         });
   }
 
@@ -553,16 +530,7 @@
   }
 
   void OnNote(const DispatchEvent& note) {
-    if (!hooks_.event) return;
-    std::vector<EventField> fields;
-    if (!note.key.job.empty()) {
-      fields.push_back({"job", note.key.job.value()});
-      if (note.run != 0) fields.push_back({"task", ToText(note.key)});
-    }
-    if (note.run != 0) fields.push_back({"run", std::to_string(note.run)});
-    if (!note.worker.empty()) fields.push_back({"worker", note.worker.value()});
-    if (!note.detail.empty()) fields.push_back({"detail", note.detail});
-    Event(note.event, std::move(fields));
+    if (hooks_.event) Event(note.event, FieldsOf(note));
   }
 
   const PlatformHooks& platform_;
@@ -572,6 +540,7 @@
   const FencingToken token_;
   PoolOwnerHooks hooks_;
   OrderRepeater orders_;
+  PlanScheduler plans_;
   FleetConfig config_;
   std::optional<ProgressWriter> writer_;
   std::optional<Dispatcher> dispatcher_;
@@ -580,8 +549,7 @@
   std::vector<ListedWorker> listed_;
   /// Workers on which nothing runs any more, see WorkerLinkHooks::on_lost.
   std::set<WorkerId> lost_workers_;
-  /// Workers whose latest report had at least kBacklogThreshold ended tasks.
-  std::set<WorkerId> backlogged_workers_;
+  WorkerBacklogs backlogs_;
   std::optional<PoolRoster> roster_;
   /// Stored progress of jobs that are not loaded yet.
   std::map<JobId, JobProgress> loaded_progress_;
@@ -589,15 +557,11 @@
   std::set<JobId> pending_cancels_;
   std::optional<EvacuationTracker> evacuations_;
   std::function<void()> on_released_;
-  Instant next_plan_at_{};
-  Instant planned_at_{};
-  TimerId plan_timer_ = 0;
   TimerId retry_timer_ = 0;
   TimerId cleanup_timer_ = 0;
   /// Earliest time of the next write of progress.
   Instant store_at_{};
   bool is_store_scheduled_ = false;
-  bool is_plan_scheduled_ = false;
   bool is_loaded_ = false;
   bool is_releasing_ = false;
   bool is_owner_key_removal_sent_ = false;
