Give a worker that started again no tasks by its former capacity

A worker may start again under its id on a VM of another size or kind, and answers its owner before the store lists the new incarnation. The owner placed tasks by the capacity and the labels of the former one: a worker that does not guard its capacity was given more than it has (LIMIT), and could be given tasks that require a label it lacks.

Cause: the entry in the store and the report were joined by the worker's id alone. Both say when the incarnation started; the adapter did not read it from the entry. Now a worker gets tasks only while both name the same start. A worker whose entry lacks the start is used as before.

--- a/libs/dispatch/include/pomelomill/dispatch/worker_report.h
+++ b/libs/dispatch/include/pomelomill/dispatch/worker_report.h
@@ -17,6 +17,9 @@
   /// The worker gets no tasks, and its long-running tasks are evacuated without
   /// regard to `max_unavailable`.
   bool is_draining = false;
+  /// Unix time of the start of the incarnation that the entry describes; 0 when
+  /// unknown. Another incarnation may have another capacity and other labels.
+  std::int64_t started_ms = 0;
 
   bool operator==(const WorkerSpec&) const = default;
 };
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -326,16 +326,19 @@
   std::map<TaskKey, std::uint32_t> listed;
   for (const RunningTask& it : report.running) listed[it.key] = it.run;
   if (!worker.spec.is_draining) {
-    // The clock of the new incarnation began with its process.
-    const Instant began = now - std::chrono::milliseconds(report.clock_ms);
+    const std::int64_t age_ms =
+        report.started_ms > 0 && report.started_ms <= wall_ms
+            ? wall_ms - report.started_ms
+            : 0;
     std::vector<TaskKey> lost;
     for (const TaskKey& key : worker.tasks) {
       TrackedJob* const job = FindJob(key.job);
       TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
       const auto it = listed.find(key);
-      const bool is_lost =
-          task != nullptr && (it == listed.end() || it->second != task->run) &&
-          (task->phase != RunPhase::kStarting || task->started_at < began);
+      const bool is_lost = task != nullptr &&
+                           (it == listed.end() || it->second != task->run) &&
+                           (task->phase != RunPhase::kStarting ||
+                            ToMillis(now - task->started_at) > age_ms);
       if (is_lost) lost.push_back(key);
     }
     CountCrash(worker.spec, lost, now, wall_ms);
--- a/libs/dispatch/src/worker_table.h
+++ b/libs/dispatch/src/worker_table.h
@@ -48,11 +48,15 @@
   /// Those of `tasks` that were on a worker that crashed.
   std::set<TaskKey> crash_suspects;
 
+  /// Whether `spec` describes the incarnation that has reported.
+  bool IsSpecCurrent() const {
+    return spec.started_ms == 0 || spec.started_ms == started_ms;
+  }
   /// Whether the worker can run further tasks.
   bool CanRunTasks(Instant now) const {
-    return is_listed && has_reported_fully && !is_unresponsive &&
-           !spec.is_draining && !is_closed && untracked_runs.empty() &&
-           now >= blocked_until;
+    return is_listed && IsSpecCurrent() && has_reported_fully &&
+           !is_unresponsive && !spec.is_draining && !is_closed &&
+           untracked_runs.empty() && now >= blocked_until;
   }
   /// Whether any task may be placed on the worker.
   bool IsUsable(Instant now) const { return CanRunTasks(now) && !reserved_for; }
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <memory>
+#include <sstream>
 #include <utility>
 
 #include "pomelomill/store/store_error.h"
@@ -16,8 +17,32 @@
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(800);
 constexpr TaskSize kWorkerCapacity{.cpu_millis = 4'000, .memory_mb = 8'000};
 
+/// A worker's entry is written this often, and when it starts.
+constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(1500);
+
 std::string PoolName(std::size_t pool) { return "p" + std::to_string(pool); }
 
+std::string EntryKey(const WorkerId& worker) {
+  return "servers/" + worker.value();
+}
+
+std::string EncodeEntry(const WorkerSpec& spec) {
+  std::ostringstream text;
+  text << (spec.is_draining ? "draining " : "ready ")
+       << spec.capacity.cpu_millis << ' ' << spec.capacity.memory_mb << ' '
+       << spec.started_ms;
+  return text.str();
+}
+
+WorkerSpec DecodeEntry(const WorkerId& worker, const std::string& text) {
+  WorkerSpec spec{.id = worker};
+  std::string state;
+  std::istringstream(text) >> state >> spec.capacity.cpu_millis >>
+      spec.capacity.memory_mb >> spec.started_ms;
+  spec.is_draining = state == "draining";
+  return spec;
+}
+
 }  // namespace
 
 JobWorld::JobWorld(const Options& options)
@@ -33,6 +58,15 @@
     return random_.Chance(options_.fail_share);
   };
   worker_options.crashes_worker = options_.crashes_worker;
+  worker_options.on_entry_change = [this](const WorkerId& id) {
+    const Duration delay =
+        std::chrono::milliseconds(random_.Below(ToMillis(kHeartbeatPeriod)));
+    time_.ScheduleAfter(delay, [this, id] {
+      const std::string key = EntryKey(id);
+      if (!store_->Value(key).empty())
+        store_->Put(key, EncodeEntry(workers_->Spec(id)));
+    });
+  };
   worker_options.ends_per_answer = options_.ends_per_answer;
   worker_options.is_calm = options_.is_calm;
   workers_ = std::make_unique<FakeWorkers>(time_, random_, worker_options);
@@ -141,9 +175,7 @@
   hooks.decode_worker = [](const StoredKey& key) -> Result<ListedWorker> {
     ListedWorker worker;
     const std::string id = key.key.substr(key.key.find('/') + 1);
-    worker.spec.id = WorkerId(id);
-    worker.spec.capacity = kWorkerCapacity;
-    worker.spec.is_draining = key.value == "draining";
+    worker.spec = DecodeEntry(WorkerId(id), key.value);
     worker.pool = PoolId(id.substr(0, 2));
     worker.address = id + ":1";
     return worker;
@@ -342,11 +374,11 @@
 
 void JobWorld::ListWorker(const WorkerId& worker, bool is_draining) {
   workers_->SetDraining(worker, is_draining);
-  store_->Put("servers/" + worker.value(), is_draining ? "draining" : "ready");
+  store_->Put(EntryKey(worker), EncodeEntry(workers_->Spec(worker)));
 }
 
 void JobWorld::UnlistWorker(const WorkerId& worker) {
-  store_->Erase("servers/" + worker.value());
+  store_->Erase(EntryKey(worker));
 }
 
 std::vector<std::string> JobWorld::Violations(const std::string& rule) const {
--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -63,6 +64,8 @@
     /// start; it is back after `restart_time`.
     std::function<bool(const TaskKey&)> crashes_worker;
     Duration restart_time = std::chrono::seconds(3);
+    /// Called when a worker has changed what its entry in the store should say.
+    std::function<void(const WorkerId&)> on_entry_change;
   };
 
   FakeWorkers(TimerService& timers, Random& random, Options options);
@@ -76,8 +79,13 @@
   void Crash(const WorkerId& worker);
   /// As Crash(), but by an order of the system.
   void EndByOrder(const WorkerId& worker);
-  /// It starts again under the same id and knows nothing.
-  void Restart(const WorkerId& worker);
+  /// It starts again under the same id and knows nothing; with another capacity
+  /// if one is given.
+  void Restart(const WorkerId& worker,
+               const std::optional<TaskSize>& capacity = std::nullopt);
+  /// What the worker's entry in the store should say of its present
+  /// incarnation.
+  WorkerSpec Spec(const WorkerId& worker) const;
   /// No call of anybody gets through.
   void SetCut(const WorkerId& worker, bool is_cut);
 
@@ -130,6 +138,7 @@
   };
 
   std::int64_t ClockMs(const Worker& worker) const;
+  static std::int64_t StartedMs(const Worker& worker);
   void CheckLease(Worker& worker);
   void Extend(Worker& worker, std::int64_t deadline_ms);
   StartResponse Start(Worker& worker, const StartRequest& call, bool is_late);
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -62,12 +62,30 @@
   }
 }
 
-void FakeWorkers::Restart(const WorkerId& worker) {
+void FakeWorkers::Restart(const WorkerId& worker,
+                          const std::optional<TaskSize>& capacity) {
   for (auto& [address, it] : workers_) {
     if (it.address.id != worker) continue;
     it.is_up = true;
     it.born = timers_.Now();
+    it.capacity = capacity.value_or(it.capacity);
   }
+  if (options_.on_entry_change) options_.on_entry_change(worker);
+}
+
+std::int64_t FakeWorkers::StartedMs(const Worker& worker) {
+  return ToMillis(worker.born.time_since_epoch()) + 1;
+}
+
+WorkerSpec FakeWorkers::Spec(const WorkerId& worker) const {
+  WorkerSpec spec{.id = worker};
+  for (const auto& [address, it] : workers_) {
+    if (it.address.id != worker) continue;
+    spec.capacity = it.capacity;
+    spec.is_draining = it.is_draining;
+    spec.started_ms = StartedMs(it);
+  }
+  return spec;
 }
 
 void FakeWorkers::SetCut(const WorkerId& worker, bool is_cut) {
@@ -299,7 +317,7 @@
   }
   WorkerReport report;
   report.clock_ms = ClockMs(worker);
-  report.started_ms = static_cast<std::int64_t>(worker.life) + 1;
+  report.started_ms = StartedMs(worker);
   for (const auto& [key, run] : worker.running)
     report.running.push_back({.key = key, .run = run.run});
   for (const auto& [number, end] : worker.ended) {
