Let a new owner wait for the store's list before it takes a worker for ended

The gap that left: an owner that acquires a pool while a partition refuses connections to a worker had no sign but the refusals, took the worker for ended after 0.3 s and started its tasks a second time.

A process that lives writes its entry in the store; that of one that has ended is removed after three missed heartbeats. A link that has never reached its worker now counts refusals as the end only once the store does not list the worker. A takeover beside a crash waits up to 4.5 s for that, unless the worker is back before. What remains: a worker that is cut off from the store as well.

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -46,8 +46,8 @@
   /// More than the 2% that the platform permits.
   double max_clock_drift = 0.025;
   /// Consecutive refused connections that prove that the process has ended,
-  /// if its machine closed a connection before (WorkerError::kProcessEnded) or
-  /// it has never responded.
+  /// if its machine closed a connection before (WorkerError::kProcessEnded), or
+  /// if it has never responded and is not listed.
   std::uint32_t refusals_until_lost = 3;
   /// An earlier owner may have extended the worker's lease up to this long
   /// after the link was created. Applies until the worker has responded to a
@@ -73,6 +73,8 @@
   std::function<bool()> has_unstored_ends;
   /// Whether tasks are placed on the worker.
   std::function<bool()> has_tasks;
+  /// Whether the store lists the worker, or its list is not known.
+  std::function<bool()> is_listed;
   /// False when the owner may no longer extend leases or send orders.
   std::function<bool()> may_send_orders;
 };
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -361,6 +361,7 @@
         .has_unstored_ends = [this,
                               id] { return dispatcher_->HasUnstoredEnds(id); },
         .has_tasks = [this, id] { return dispatcher_->HasTasks(id); },
+        .is_listed = [this, id] { return listed_.empty() || IsListed(id); },
         .may_send_orders = [this] { return MaySendOrders(); }};
   }
 
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -250,9 +250,11 @@
     const bool is_refused = ec == WorkerError::kConnectionRefused ||
                             ec == WorkerError::kProcessEnded;
     refusals_ = is_refused ? refusals_ + 1 : 0;
-    // Nothing tells a partition from the end of a process that this link has
-    // never reached; its tasks are another owner's.
-    const bool has_ended = ec == WorkerError::kProcessEnded || !has_responded_;
+    // An owner that has never reached the worker cannot know how its
+    // connections ended. The store removes the entry of a process that has
+    // ended.
+    const bool has_ended = ec == WorkerError::kProcessEnded ||
+                           (!has_responded_ && !hooks_.is_listed());
     if (has_ended && refusals_ >= options_.refusals_until_lost)
       return MarkLost(WorkerLoss::kConnectionsRefused);
     if (!is_lost_ && timers_.Now() > lease_expires_at_)
--- a/libs/jobserver/test/partition_test.cc
+++ b/libs/jobserver/test/partition_test.cc
@@ -52,6 +52,23 @@
   CheckRules(world);
 }
 
+TEST_CASE(
+    "an owner that takes over during a partition that refuses connections "
+    "starts no task again") {
+  JobWorld world({.run_time = seconds(8)});
+  world.Advance(seconds(2));
+  world.Submit(0, "job", 0, ChainJob(1, 6));
+  world.Advance(seconds(1));
+  REQUIRE(world.workers().runs().size() == 6);
+  const WorkerId worker = world.workers().runs().front().worker;
+  world.workers().SetRefusing(worker, true);
+  world.KillEntry(static_cast<std::size_t>(world.Owner(0)));
+  world.Advance(milliseconds(4'500));
+  world.workers().SetRefusing(worker, false);
+  world.Advance(seconds(20));
+  CheckRules(world);
+}
+
 TEST_CASE("partitions that refuse connections, and crashes, break no rule") {
   // POMELOMILL_SEEDS="FIRST LAST" overrides the seeds that CI runs.
   std::uint64_t first = 1;
