--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -258,9 +258,10 @@
   void OnWorkerUnresponsive(const WorkerId& worker);
   /// The worker has ended or its lease has certainly expired: it runs no task,
   /// and no earlier order to it can take effect any more. Unless the lease has
-  /// expired or the worker was draining or closed, this is a crash, which
-  /// counts against the tasks on the worker, see
-  /// DispatcherOptions::crashes_until_alone.
+  /// expired or the worker was draining, this is a crash, which counts against
+  /// the tasks on the worker, see DispatcherOptions::crashes_until_alone. So is
+  /// the end of a closed worker with tasks on it: planned work begins only when
+  /// none is left.
   void OnWorkerGone(const WorkerId& worker, WorkerLoss loss, Instant now,
                     std::int64_t wall_ms);
 
--- a/libs/jobserver/test/capacity_test.cc
+++ b/libs/jobserver/test/capacity_test.cc
@@ -1,8 +1,6 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <functional>
-#include <sstream>
 
 #include "job_world.h"
 
@@ -15,12 +13,7 @@
 /// Keeps more work in both pools than their workers can run, while `disturb`
 /// acts on them, and checks that no worker is given more than its capacity.
 void RunFullPools(const std::function<void(JobWorld&, Random&)>& disturb) {
-  // POMELOMILL_SEEDS="FIRST LAST" overrides the seeds that CI runs.
-  std::uint64_t first = 1;
-  std::uint64_t last = 6;
-  if (const char* const seeds = std::getenv("POMELOMILL_SEEDS"))
-    std::istringstream(seeds) >> first >> last;
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
+  for (const std::uint64_t seed : SeedsToRun(6)) {
     CAPTURE(seed);
     JobWorld world({.seed = seed, .run_time = milliseconds(900)});
     Random random(seed * 7919);
--- a/libs/jobserver/test/crash_test.cc
+++ b/libs/jobserver/test/crash_test.cc
@@ -1,8 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
-#include <sstream>
-
 #include "job_world.h"
 
 namespace pomelomill {
@@ -58,12 +55,7 @@
 }
 
 void RunSeeds(const std::function<void(JobWorld&, Random&)>& disturb) {
-  // POMELOMILL_SEEDS="FIRST LAST" overrides the seeds that CI runs.
-  std::uint64_t first = 1;
-  std::uint64_t last = 6;
-  if (const char* const seeds = std::getenv("POMELOMILL_SEEDS"))
-    std::istringstream(seeds) >> first >> last;
-  for (std::uint64_t seed = first; seed <= last; ++seed)
+  for (const std::uint64_t seed : SeedsToRun(6))
     RunWithCrashingTasks(seed, disturb);
 }
 
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -402,6 +402,15 @@
   return text;
 }
 
+std::vector<std::uint64_t> SeedsToRun(std::uint64_t last) {
+  std::uint64_t first = 1;
+  if (const char* const seeds = std::getenv("POMELOMILL_SEEDS"))
+    std::istringstream(seeds) >> first >> last;
+  std::vector<std::uint64_t> all;
+  for (; first <= last; ++first) all.push_back(first);
+  return all;
+}
+
 JobSpec ChainJob(std::uint32_t steps, std::uint32_t tasks) {
   JobSpec spec;
   spec.payload = "work";
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -173,6 +173,10 @@
   bool is_deciding_ = false;
 };
 
+/// Returns the seeds from 1 to `last`, or those that POMELOMILL_SEEDS="FIRST
+/// LAST" in the environment names instead.
+std::vector<std::uint64_t> SeedsToRun(std::uint64_t last);
+
 /// Returns a job of `steps` consecutive steps, each of `tasks` tasks of one
 /// core.
 JobSpec ChainJob(std::uint32_t steps, std::uint32_t tasks);
--- a/libs/jobserver/test/partition_test.cc
+++ b/libs/jobserver/test/partition_test.cc
@@ -1,9 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
-#include <sstream>
 
 #include "job_world.h"
 
@@ -70,12 +68,7 @@
 }
 
 TEST_CASE("partitions that refuse connections, and crashes, break no rule") {
-  // POMELOMILL_SEEDS="FIRST LAST" overrides the seeds that CI runs.
-  std::uint64_t first = 1;
-  std::uint64_t last = 6;
-  if (const char* const seeds = std::getenv("POMELOMILL_SEEDS"))
-    std::istringstream(seeds) >> first >> last;
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
+  for (const std::uint64_t seed : SeedsToRun(6)) {
     CAPTURE(seed);
     JobWorld world({.seed = seed, .run_time = milliseconds(900)});
     Random random(seed * 7919);
