--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -414,7 +414,7 @@
       loss != WorkerLoss::kLeaseExpired && !worker->spec.is_draining;
   RecordEvent("worker-gone", {}, 0, id,
               std::to_string(worker->tasks.size()) + " tasks lost" +
-                  (is_crash ? " in a crash" : ""));
+                  (is_crash && !worker->tasks.empty() ? " in a crash" : ""));
   if (is_crash) {
     CountCrash(*worker, {worker->tasks.begin(), worker->tasks.end()}, now,
                wall_ms);
