--- a/libs/jobserver/test/store_records_mutation_test.cc
+++ b/libs/jobserver/test/store_records_mutation_test.cc
@@ -49,7 +49,8 @@
                   [](const std::string& it) { DecodeStoredJob(it); });
   JobProgress progress;
   progress.phase = JobPhase::kRunning;
-  progress.tasks.resize(1);
+  progress.tasks = {{.failed_runs = {4}},
+                    {.index = 1, .crashed_runs = {5, 7}, .unfinished_run = 8}};
   DecodeMutations(EncodeJobProgress(progress),
                   [](const std::string& it) { DecodeJobProgress(it); });
   DecodeMutations(EncodeJobLocation({PoolId("p"), QueueId("q")}),
