Log the incarnation of a worker, whether it is listed, and roles held

The hypotheses of TWICE and LIMIT differ in which incarnation of a worker lists a run, in whether the store listed a worker when it was given up, and in how many roles one entry holds. worker-reported, worker-silent, worker-lost and acquired now say so; no logic is changed.

--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -99,7 +99,9 @@
   if (is_first) {
     RecordEvent("worker-reported", {}, 0, id,
                 std::to_string(report.running.size()) + " running, " +
-                    std::to_string(report.ended.size()) + " ended");
+                    std::to_string(report.ended.size()) +
+                    " ended, incarnation started at " +
+                    std::to_string(report.started_ms) + " ms");
   }
 }
 
--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -235,9 +235,11 @@
     if (is_leaving_ || owned_.contains(pool)) return;
     owned_[pool] = token;
     if (hooks_.event) {
-      hooks_.event(
-          "ownership", "acquired",
-          {{"pool", pool.value()}, {"token", std::to_string(token.value())}});
+      hooks_.event("ownership", "acquired",
+                   {{"pool", pool.value()},
+                    {"token", std::to_string(token.value())},
+                    {"roles", std::to_string(owned_.size())},
+                    {"members", std::to_string(view_.members().size())}});
     }
     hooks_.on_acquired(pool, token, acquisition_lease_[pool]);
   }
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -39,6 +39,8 @@
 /// fails for good long before one owner has started it this often.
 constexpr std::uint32_t kRunNumbersPerOwner = 100'000;
 
+const char* YesOrNo(bool is_true) { return is_true ? "yes" : "no"; }
+
 }  // namespace
 
 class PoolOwner::Impl : public std::enable_shared_from_this<Impl> {
@@ -86,9 +88,8 @@
                 [this] { plans_.ScheduleAt(timers_.Now() + kRetryDelay); },
             .on_report_finished =
                 [this](const WorkerId& worker, bool is_stored) {
-                  Event("worker-emptied",
-                        {{"worker", worker.value()},
-                         {"stored", is_stored ? "yes" : "no"}});
+                  Event("worker-emptied", {{"worker", worker.value()},
+                                           {"stored", YesOrNo(is_stored)}});
                 }});
     roster_->Load();
   }
@@ -343,14 +344,16 @@
             },
         .on_unresponsive =
             [this, id](std::error_code ec) {
-              Event("worker-silent",
-                    {{"worker", id.value()}, {"error", ec.message()}});
+              Event("worker-silent", {{"worker", id.value()},
+                                      {"error", ec.message()},
+                                      {"listed", YesOrNo(IsListed(id))}});
               dispatcher_->OnWorkerUnresponsive(id);
             },
         .on_lost =
             [this, id](WorkerLoss loss) {
-              Event("worker-lost",
-                    {{"worker", id.value()}, {"reason", ToText(loss)}});
+              Event("worker-lost", {{"worker", id.value()},
+                                    {"reason", ToText(loss)},
+                                    {"listed", YesOrNo(IsListed(id))}});
               lost_workers_.insert(id);
               dispatcher_->OnWorkerGone(id, loss, timers_.Now(),
                                         hooks_.wall_ms());
