--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -69,8 +69,6 @@
   };
   worker_options.ends_per_answer = options_.ends_per_answer;
   worker_options.is_calm = options_.is_calm;
-  worker_options.late_orders_reach_next_life =
-      options_.late_orders_reach_next_life;
   workers_ = std::make_unique<FakeWorkers>(time_, random_, worker_options);
   vms_ = std::make_unique<FakeVms>(
       time_, std::chrono::seconds(2),
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -36,7 +36,6 @@
 
     // Passed on to FakeWorkers::Options, which explains them.
     bool is_calm = false;
-    bool late_orders_reach_next_life = false;
     std::size_t ends_per_answer = 500;
   };
 
--- a/libs/jobserver/test/late_order_test.cc
+++ b/libs/jobserver/test/late_order_test.cc
@@ -25,9 +25,7 @@
 TEST_CASE("late starts carried out by the next incarnation of their worker") {
   for (const std::uint64_t seed : SeedsToRun(8)) {
     CAPTURE(seed);
-    JobWorld world({.seed = seed,
-                    .run_time = milliseconds(900),
-                    .late_orders_reach_next_life = true});
+    JobWorld world({.seed = seed, .run_time = milliseconds(900)});
     Random random(seed * 7919);
     world.Advance(seconds(2));
     for (std::size_t i = 0; i < 3; ++i) {
--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
@@ -18,7 +18,8 @@
 /// What goes wrong between one process and the workers.
 struct WorkerFaults {
   bool is_cut = false;
-  /// Share of the orders that get no answer and are carried out `late` later.
+  /// Share of the orders that get no answer and are carried out `late` later,
+  /// by the incarnation of the worker that runs then.
   double late_share = 0;
   Duration late = std::chrono::seconds(3);
   /// Share of the calls that the process cannot send although the worker lives,
@@ -53,9 +54,6 @@
     Duration stop_time = std::chrono::milliseconds(200);
     /// Most ends in one answer.
     std::size_t ends_per_answer = 500;
-    /// A late order is carried out by the incarnation that runs then, though it
-    /// was sent to an earlier one: the id that it names is that of both.
-    bool late_orders_reach_next_life = false;
     /// No fault lets a lease lapse: one that does counts as an order.
     bool is_calm = false;
     /// Run time of a task.
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -464,10 +464,9 @@
             kLatency + (is_late ? fault->late : Duration(0)),
             [=, this, order = std::move(order), refused = std::move(refused)] {
               const auto it = workers_.find(address.address);
-              const bool reaches_any_life =
-                  is_late && options_.late_orders_reach_next_life;
+              // The id that a late order names is that of both incarnations.
               if (it == workers_.end() || !it->second.is_up ||
-                  (it->second.life != life && !reaches_any_life)) {
+                  (it->second.life != life && !is_late)) {
                 if (!is_late) timers->ScheduleAfter(kLatency, refused);
                 return;
               }
