Do not wait in a long poll for the higher token of a worker

A worker that started again without any failed call, between two renewals, was asked for its next report by a long poll under the former token. Until that poll returned, 0.6 to 1.8 s later, the worker got no tasks and still carried out orders to its former incarnation. Renewals without a wait follow each 20 ms now until the store has given a newer version.

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -24,6 +24,9 @@
   Duration idle_long_poll_wait = std::chrono::milliseconds(1800);
   /// Delay before the next renewal after a failed one.
   Duration retry_delay = std::chrono::milliseconds(100);
+  /// Delay before the next renewal while a higher token is requested, which
+  /// takes one write to the store.
+  Duration token_retry_delay = std::chrono::milliseconds(20);
   /// Delay before the next renewal while ended tasks are not stored yet.
   Duration unstored_ends_delay = std::chrono::milliseconds(100);
   /// A result is stale when it is handled more than this after the end of the
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -159,7 +159,7 @@
     const bool is_reachable = !is_unresponsive_ && !is_outcome_stale_;
     if (is_reachable) request.deadline_ms = order_deadline_ms();
     is_probing_ = has_unacknowledged && !may_acknowledge;
-    const bool may_wait = clock_ms_ && is_reachable &&
+    const bool may_wait = clock_ms_ && is_reachable && !needs_token_ &&
                           !hooks_.has_unstored_ends() && !is_probing_;
     if (may_wait) {
       request.max_wait = hooks_.has_tasks() ? options_.long_poll_wait
@@ -259,6 +259,7 @@
       return RenewAfter(
           std::min(timers_.Now() - request_sent_at_, options_.long_poll_wait));
     }
+    if (needs_token_) return RenewAfter(options_.token_retry_delay);
     if (is_new_incarnation || !hooks_.has_unstored_ends()) return SendRenewal();
     is_waiting_for_store_ = true;
     RenewAfter(options_.unstored_ends_delay);
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -408,12 +408,19 @@
   fixture.Answer(20, 2);
   CHECK_FALSE(fixture.link->may_start());
   CHECK(fixture.link->needs_token());
+  for (int i = 0; i < 3; ++i) {
+    fixture.timers.Advance(milliseconds(30));
+    // A long poll would delay the higher token.
+    CHECK(fixture.sent.back().max_wait == Duration(0));
+    fixture.Answer(50 + 30 * i, 2);
+    CHECK_FALSE(fixture.link->may_start());
+  }
   CHECK(fixture.token_requests > 0);
   fixture.newest_token = FencingToken(5);
-  fixture.Answer(620, 2);
+  fixture.timers.Advance(milliseconds(30));
   CHECK(fixture.sent.back().token == FencingToken(5));
   CHECK_FALSE(fixture.link->may_start());
-  fixture.Answer(1220, 2);
+  fixture.Answer(200, 2);
   CHECK(fixture.link->may_start());
   CHECK(fixture.link->token() == FencingToken(5));
 }
