Hold a task for the late start of any of its runs

- A task was held back only for the run that was lost with its worker.
A start of an earlier run on the same worker may be open, too: dispatcher_test has the case and fails without the change.
Open starts are kept by worker now.
- The link of a lost worker that the store no longer lists is kept as long as an order to it is open, so that the next incarnation is still called within 0.1 s.
- A failed earlier run no longer shortens the hold.
- late_order_test checks the jobs' outcome and that late orders did reach a next incarnation.
- worker_link_test, "a paused link checks the incarnation", gives the link a higher token after the restart: without one no task and no acknowledgement follows any more.
Its checks are the same.

The documentation describes the tokens and the open starts.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -265,11 +265,11 @@
   /// The worker does not answer; it gets no tasks until its next report.
   void OnWorkerUnresponsive(const WorkerId& worker);
   /// The worker has ended or its lease has certainly expired: it runs no task.
-  /// Unless the lease has
-  /// expired or the worker was draining, this is a crash, which counts against
-  /// the tasks on the worker, see DispatcherOptions::crashes_until_alone. So is
-  /// the end of a closed worker with tasks on it: planned work begins only when
-  /// none is left. A task of which a start may still be carried out by the next
+  /// Unless the lease has expired or the worker was draining, this is a crash,
+  /// which counts against the tasks on the worker, see
+  /// DispatcherOptions::crashes_until_alone. So is the end of a closed worker
+  /// with tasks on it: planned work begins only when none is left. A task of
+  /// which a start may still be carried out by the next
   /// incarnation of the worker is held back until ReleaseHeldTasks().
   void OnWorkerGone(const WorkerId& worker, WorkerLoss loss, Instant now,
                     std::int64_t wall_ms);
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -51,6 +51,9 @@
                       Instant now) {
     open_starts_.Settle(key, run, is_answered, now);
   }
+  /// Holds back the waiting tasks of which the worker's next incarnation may
+  /// carry out a start.
+  void HoldOpenTasks(const WorkerId& id, Instant now);
   void ReleaseHeldTasks(const WorkerId& id, Instant now);
   void OnWorkerUnresponsive(const WorkerId& id);
   void OnWorkerGone(const WorkerId& id, WorkerLoss loss, Instant now,
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -220,7 +220,7 @@
                   std::to_string(worker.spec.capacity.memory_mb) +
                   " failures " + std::to_string(task.failed_runs.size()));
   in_flight_starts_.emplace(key, run);
-  open_starts_.Add(key, run);
+  open_starts_.Add(worker.spec.id, key, run);
   plan.starts.push_back({worker.spec.id, key, run, task.checkpoint, job.spec});
 }
 
@@ -289,7 +289,7 @@
     task.checkpoint = checkpoint;
     RecordEvent("task-start", key, run, task.worker, "gang");
     in_flight_starts_.emplace(key, run);
-    open_starts_.Add(key, run);
+    open_starts_.Add(task.worker, key, run);
     plan.starts.push_back({task.worker, key, run, checkpoint, job.spec});
   }
   return is_within_limit;
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -198,7 +198,7 @@
     worker.failed_jobs.clear();
   }
   task.failed_on = id;
-  task.retry_at = now + options_.retry_backoff;
+  task.retry_at = std::max(task.retry_at, now + options_.retry_backoff);
   task.avoid_until = now + options_.failed_worker_avoidance;
   if (job.is_final()) return;
   const StepSpec& step = job.spec->steps[key.step];
@@ -392,18 +392,12 @@
     TrackedJob* const job = FindJob(key.job);
     TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
     if (task == nullptr) continue;
-    const Instant open_until = open_starts_.OpenUntil(key, task->run, now);
-    RecordEvent(
-        "task-lost", key, task->run, id,
-        open_until > now ? "worker gone, start still open" : "worker gone");
+    RecordEvent("task-lost", key, task->run, id, "worker gone");
     Unplace(*job, key, *task);
-    task->retry_at = std::max(now, open_until);
-    if (open_until > now) {
-      task->held_for = id;
-      held_tasks_[id].insert(key);
-    }
+    task->retry_at = now;
     FreeTasksOfEndedJob(*job);
   }
+  HoldOpenTasks(id, now);
   const WorkerSpec spec = worker.spec;
   const bool is_listed = worker.is_listed;
   worker = PoolWorker{};
@@ -411,6 +405,20 @@
   worker.is_listed = is_listed;
 }
 
+void Dispatcher::Impl::HoldOpenTasks(const WorkerId& id, Instant now) {
+  for (const auto& [key, until] : open_starts_.OpenOn(id, now)) {
+    TrackedJob* const job = FindJob(key.job);
+    TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
+    if (task == nullptr || task->phase != RunPhase::kWaiting) continue;
+    RecordEvent(
+        "task-held", key, task->run, id,
+        "start open for " + std::to_string(ToMillis(until - now)) + " ms");
+    task->retry_at = std::max(task->retry_at, until);
+    task->held_for = id;
+    held_tasks_[id].insert(key);
+  }
+}
+
 void Dispatcher::Impl::OnWorkerUnresponsive(const WorkerId& id) {
   PoolWorker* const worker = workers_.Find(id);
   if (worker != nullptr) worker->is_unresponsive = true;
@@ -421,7 +429,7 @@
   StopAwaiting(id, now);
   PoolWorker* const worker = workers_.Find(id);
   if (worker != nullptr) RemoveWorker(id, *worker, loss, now, wall_ms);
-  // Another incarnation under another id refuses what was sent to this one.
+  // A worker with another id refuses what was sent to this one.
   if (loss == WorkerLoss::kOtherIncarnation) ReleaseHeldTasks(id, now);
 }
 
--- a/libs/dispatch/src/job_table.h
+++ b/libs/dispatch/src/job_table.h
@@ -48,7 +48,7 @@
   WorkerId failed_on;
   Instant avoid_until{};
   Instant retry_at{};
-  /// Worker whose next incarnation may carry out a start of `run`; the task is
+  /// Worker whose next incarnation may carry out a start of the task, which is
   /// held back until `retry_at` for that reason.
   WorkerId held_for;
   /// When the latest run was placed; unset for gang members and adopted runs.
--- a/libs/dispatch/src/open_starts.cc
+++ b/libs/dispatch/src/open_starts.cc
@@ -11,19 +11,23 @@
   if (is_answered) {
     starts_.erase(it);
   } else {
-    it->second = now + lifetime_;
+    it->second.until = now + lifetime_;
   }
 }
 
-Instant OpenStarts::OpenUntil(const TaskKey& key, std::uint32_t run,
-                              Instant now) const {
-  const auto it = starts_.find({key, run});
-  if (it == starts_.end()) return Instant::min();
-  return std::min(it->second, now + lifetime_);
+std::vector<OpenStarts::OpenTask> OpenStarts::OpenOn(const WorkerId& worker,
+                                                     Instant now) const {
+  std::vector<OpenTask> tasks;
+  for (const auto& [start, it] : starts_) {
+    if (it.worker == worker && it.until > now)
+      tasks.push_back({start.first, std::min(it.until, now + lifetime_)});
+  }
+  return tasks;
 }
 
 void OpenStarts::Purge(Instant now) {
-  std::erase_if(starts_, [&](const auto& it) { return it.second <= now; });
+  std::erase_if(starts_,
+                [&](const auto& it) { return it.second.until <= now; });
 }
 
 }  // namespace pomelomill
--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -22,11 +22,9 @@
   /// As long_poll_wait, for a worker on which no task is placed: nothing there
   /// can fail, and idle workers are most of a fleet between load peaks.
   Duration idle_long_poll_wait = std::chrono::milliseconds(1800);
-  /// Delay before the next renewal after a failed one.
+  /// Delay before the next renewal after a failed one, or while a higher token
+  /// is requested.
   Duration retry_delay = std::chrono::milliseconds(100);
-  /// Delay before the next renewal while a higher token is requested, which
-  /// takes one write to the store.
-  Duration token_retry_delay = std::chrono::milliseconds(20);
   /// Delay before the next renewal while ended tasks are not stored yet.
   Duration unstored_ends_delay = std::chrono::milliseconds(100);
   /// A result is stale when it is handled more than this after the end of the
@@ -117,8 +115,12 @@
   const WorkerAddress& address() const;
   /// Fencing token for orders to the worker.
   FencingToken token() const;
-  /// Whether the worker may still carry out orders to a former incarnation.
+  /// Whether the present incarnation may still carry out orders to a former
+  /// one, because it has not responded to a higher token.
   bool needs_token() const;
+  /// Whether a start, of this owner or an earlier one, may still be carried
+  /// out.
+  bool has_open_orders() const;
   /// Lease deadline to send with a start order, in milliseconds of the worker's
   /// clock; empty while that clock is unknown.
   std::optional<std::int64_t> order_deadline_ms() const;
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -1,6 +1,7 @@
 #include "pool_owner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -312,15 +313,22 @@
       EnsureLink({it.spec.id, it.address});
     }
     dispatcher_->SetListedWorkers(usable);
-    std::erase_if(links_, [&](const auto& it) {
-      const bool is_gone = it.second->is_lost() && !IsListed(it.first);
-      // A process that lives under this id would be listed.
-      if (is_gone) dispatcher_->ReleaseHeldTasks(it.first, timers_.Now());
-      return is_gone;
-    });
+    DropGoneLinks();
     plans_.Schedule();
   }
 
+  void DropGoneLinks() {
+    for (auto it = links_.begin(); it != links_.end();) {
+      const auto& [id, link] = *it;
+      const bool is_gone = link->is_lost() && !listed_.empty() && !IsListed(id);
+      // The next incarnation of a process that is up would be listed.
+      if (is_gone) dispatcher_->ReleaseHeldTasks(id, timers_.Now());
+      // As long as an order is open, the link calls that incarnation early.
+      const bool is_needed = !is_gone || link->has_open_orders();
+      it = is_needed ? std::next(it) : links_.erase(it);
+    }
+  }
+
   void EnsureLink(const WorkerAddress& worker) {
     auto& link = links_[worker.id];
     if (link != nullptr && link->address() == worker) return;
@@ -430,7 +438,7 @@
     if (is_loaded_ && !is_releasing_) {
       if (MaySendOrders()) {
         const bool may_start = MayStartTasks();
-        // Otherwise Send() could reject some starts of a gang but not all.
+        // Otherwise some starts of a gang could be rejected but not all.
         for (const auto& [id, link] : links_)
           if (!link->may_start()) dispatcher_->OnWorkerUnresponsive(id);
         const Instant began = timers_.Now();
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -41,6 +41,7 @@
   bool is_lost() const { return is_lost_; }
   FencingToken token() const { return token_; }
   bool needs_token() const { return needs_token_; }
+  bool has_open_orders() const { return !HasNoOrderInFlight(); }
 
   std::optional<std::int64_t> order_deadline_ms() const {
     if (!clock_ms_) return std::nullopt;
@@ -231,11 +232,15 @@
     if (is_new_incarnation && order_token_ != FencingToken()) {
       needs_token_ = true;
       outdated_token_ = order_token_;
+    }
+    if (needs_token_) {
       // A call to the former incarnation may have extended the lease by a
       // deadline on that one's clock.
-      latest_deadline_ms_ = result->clock_ms + ToMillis(options_.longest_lease);
+      latest_deadline_ms_ =
+          std::max(latest_deadline_ms_,
+                   result->clock_ms + ToMillis(options_.longest_lease));
+      needs_token_ = token_ <= outdated_token_;
     }
-    if (token_ > outdated_token_) needs_token_ = false;
     is_unresponsive_ = false;
     is_outcome_stale_ = false;
     is_lost_ = false;
@@ -259,7 +264,7 @@
       return RenewAfter(
           std::min(timers_.Now() - request_sent_at_, options_.long_poll_wait));
     }
-    if (needs_token_) return RenewAfter(options_.token_retry_delay);
+    if (needs_token_) return RenewAfter(options_.retry_delay);
     if (is_new_incarnation || !hooks_.has_unstored_ends()) return SendRenewal();
     is_waiting_for_store_ = true;
     RenewAfter(options_.unstored_ends_delay);
@@ -396,6 +401,7 @@
   return impl_->TrackStart(deadline_ms);
 }
 FencingToken WorkerLink::token() const { return impl_->token(); }
+bool WorkerLink::has_open_orders() const { return impl_->has_open_orders(); }
 bool WorkerLink::needs_token() const { return impl_->needs_token(); }
 bool WorkerLink::may_start() const { return impl_->may_start(); }
 bool WorkerLink::is_lost() const { return impl_->is_lost(); }
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -69,6 +69,7 @@
   };
   worker_options.ends_per_answer = options_.ends_per_answer;
   worker_options.is_calm = options_.is_calm;
+  worker_options.checks_first_moments = options_.checks_first_moments;
   workers_ = std::make_unique<FakeWorkers>(time_, random_, worker_options);
   vms_ = std::make_unique<FakeVms>(
       time_, std::chrono::seconds(2),
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -36,6 +36,7 @@
 
     // Passed on to FakeWorkers::Options, which explains them.
     bool is_calm = false;
+    bool checks_first_moments = false;
     std::size_t ends_per_answer = 500;
   };
 
--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
@@ -54,6 +54,9 @@
     Duration stop_time = std::chrono::milliseconds(200);
     /// Most ends in one answer.
     std::size_t ends_per_answer = 500;
+    /// Whether late orders count that reach an incarnation within 0.1 s of its
+    /// start, before anyone has called it.
+    bool checks_first_moments = false;
     /// No fault lets a lease lapse: one that does counts as an order.
     bool is_calm = false;
     /// Run time of a task.
@@ -102,6 +105,9 @@
   /// tasks started three times after they have crashed three workers, as text
   /// that begins with the name of the rule; empty when there are none.
   std::vector<std::string> violations() const { return violations_; }
+  /// Late orders that were carried out by a later incarnation than the one to
+  /// which they were sent.
+  int late_orders_in_next_life() const { return late_orders_in_next_life_; }
   /// Sizes by which capacity is checked.
   void SetSize(const JobId& job, const TaskSize& size) { sizes_[job] = size; }
   /// The tasks of the step run until they are stopped. At most
@@ -174,6 +180,7 @@
   const LongRunning* FindLongRunning(const TaskKey& key) const;
   void Violate(const std::string& text);
 
+  int late_orders_in_next_life_ = 0;
   TimerService& timers_;
   Random& random_;
   Options options_;
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -174,8 +174,8 @@
                              bool is_late) {
   std::string what = ToText(key) + " on " + worker.address.id.value();
   if (is_late) {
-    // No owner can prevent what a worker does before it could be called.
-    if (!worker.was_called && ClockMs(worker) < ToMillis(kFirstCallDelay))
+    if (!options_.checks_first_moments && !worker.was_called &&
+        ClockMs(worker) < ToMillis(kFirstCallDelay))
       return;
     what += " by a late order " + std::to_string(ClockMs(worker)) +
             " ms after the worker's start";
@@ -470,6 +470,7 @@
                 if (!is_late) timers->ScheduleAfter(kLatency, refused);
                 return;
               }
+              if (it->second.life != life) ++late_orders_in_next_life_;
               auto answer = order(it->second, is_late);
               if (!is_late) timers->ScheduleAfter(kLatency, std::move(answer));
             });
