Do not let a task of the largest size seem to fit on a worker

PoolWorker::Fits added the size of a task to what is in use in 32 bits, so that a task of 4,294,967,295 thousandths of a core fitted on any worker in use. The search compares the free capacity first, which hid it for placements; the reservation of workers for tasks that run alone asks Fits only.

Test: placement_test, "a task of the largest size fits on no worker", failed before.

--- a/libs/dispatch/src/worker_table.cc
+++ b/libs/dispatch/src/worker_table.cc
@@ -9,6 +9,10 @@
   from -= std::min(from, amount);
 }
 
+bool IsFree(std::uint32_t amount, std::uint32_t used, std::uint32_t capacity) {
+  return used <= capacity && amount <= capacity - used;
+}
+
 }  // namespace
 
 bool PoolWorker::HasLabel(const std::string& label) const {
@@ -17,9 +21,10 @@
 }
 
 bool PoolWorker::Fits(const TaskSize& size) const {
-  return used.cpu_millis + size.cpu_millis <= spec.capacity.cpu_millis &&
-         used.memory_mb + size.memory_mb <= spec.capacity.memory_mb &&
-         used.gpus + size.gpus <= spec.capacity.gpus;
+  const TaskSize& all = spec.capacity;
+  return IsFree(size.cpu_millis, used.cpu_millis, all.cpu_millis) &&
+         IsFree(size.memory_mb, used.memory_mb, all.memory_mb) &&
+         IsFree(size.gpus, used.gpus, all.gpus);
 }
 
 bool PoolWorker::CanEverFit(const TaskSize& size) const {
--- a/libs/dispatch/test/placement_test.cc
+++ b/libs/dispatch/test/placement_test.cc
@@ -142,6 +142,24 @@
 
 }  // namespace
 
+// Guards against a sum that wraps: a task of nearly 2^32 thousandths of a core
+// seems to fit on a worker in use.
+TEST_CASE("a task of the largest size fits on no worker") {
+  constexpr std::uint32_t kMost = 4'294'967'295;
+  PoolWorker worker;
+  worker.spec.capacity = {.cpu_millis = 4'000, .memory_mb = 4'000, .gpus = 2};
+  worker.used = {.cpu_millis = 1'000, .memory_mb = 1'000, .gpus = 1};
+  CHECK(worker.Fits({.cpu_millis = 3'000, .memory_mb = 3'000, .gpus = 1}));
+  CHECK_FALSE(worker.Fits({.cpu_millis = 3'001}));
+  CHECK_FALSE(worker.Fits({.cpu_millis = kMost}));
+  CHECK_FALSE(worker.Fits({.memory_mb = kMost}));
+  CHECK_FALSE(worker.Fits({.gpus = kMost}));
+  // The capacity of a new incarnation may be less than what is in use.
+  worker.used.cpu_millis = 5'000;
+  CHECK_FALSE(worker.Fits({.cpu_millis = 1}));
+  CHECK_FALSE(worker.Fits({.memory_mb = 1}));
+}
+
 TEST_CASE("tasks that were lost in a crash are spread over the workers") {
   // Guards against lost tasks that travel together with the one that crashes
   // its workers: the fullest worker is otherwise preferred.
