Rank jobs of any estimate without overflow

What would be seen: a caller's estimate of up to 95 years, with many tasks and a large size, overflowed the sums behind the job's rank (undefined behaviour, seen by the sanitizer), which may put the job before all others.

Change: an estimate counts up to 30 days and an objective up to 10 years; the remaining work is added up as a double and bounded. Usual jobs rank as before.

Test: job_rank_test, "a job of the longest estimates ranks after a usual one": before, "signed integer overflow" in RemainingCoreMs.

--- a/libs/dispatch/src/job_rank.cc
+++ b/libs/dispatch/src/job_rank.cc
@@ -1,6 +1,7 @@
 #include "job_rank.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelomill {
 namespace {
@@ -20,27 +21,37 @@
 /// same time.
 constexpr Duration kStartMargin = std::chrono::milliseconds(2000);
 
+/// Longest time that is expected of a task, and longest objective: callers may
+/// send any estimate, and sums of these do not overflow.
+constexpr Duration kMaxTaskTime = std::chrono::hours(24 * 30);
+constexpr Duration kMaxObjective = std::chrono::hours(24 * 365 * 10);
+/// More work than any fleet does in the longest time of a task.
+constexpr double kMaxCoreMs = 1e18;
+
 /// Returns the expected run time of a task of the step. The callers' estimates
 /// are rough; the average of an estimate and the measured mean is closer to the
 /// true run time than either.
 Duration ExpectedTime(const StepSpec& step, Duration mean_run_time) {
-  if (mean_run_time == Duration(0)) return step.estimate;
-  return (step.estimate + mean_run_time) / 2;
+  const Duration estimate = std::min(step.estimate, kMaxTaskTime);
+  if (mean_run_time == Duration(0)) return estimate;
+  return (estimate + mean_run_time) / 2;
 }
 
 /// Returns the expected core-milliseconds of the unfinished tasks.
 std::int64_t RemainingCoreMs(const TrackedJob& job, Duration mean_run_time) {
-  std::int64_t work = 0;
+  double work = 0;
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
       const StepSpec& step = job.spec->steps[s];
-      const auto unfinished = static_cast<std::int64_t>(
+      const auto unfinished = static_cast<double>(
           occurrence.steps[s].tasks.size() - occurrence.steps[s].done);
-      work += unfinished * step.size.cpu_millis *
-              ToMillis(ExpectedTime(step, mean_run_time)) / 1'000;
+      work += std::floor(
+          unfinished * step.size.cpu_millis *
+          static_cast<double>(ToMillis(ExpectedTime(step, mean_run_time))) /
+          1'000);
     }
   }
-  return work;
+  return static_cast<std::int64_t>(std::min(work, kMaxCoreMs));
 }
 
 /// Returns the run time of the longest chain of dependent steps, in which steps
@@ -112,9 +123,11 @@
     rank.key = key_of(job.added_at);
     return rank;
   }
+  const auto stretched = std::chrono::duration_cast<Duration>(
+      std::min<std::chrono::duration<double, Duration::period>>(
+          inputs.total_critical_path * policy.stretch, kMaxObjective));
   const Duration objective =
-      policy.target_latency + std::chrono::duration_cast<Duration>(
-                                  inputs.total_critical_path * policy.stretch);
+      std::min(policy.target_latency, kMaxObjective) + stretched;
   const Duration remaining = inputs.remaining_critical_path;
   const Instant due = job.added_at + objective;
   const Instant expires_at = job.added_at + kExpiryFactor * objective;
--- a/libs/dispatch/test/job_rank_test.cc
+++ b/libs/dispatch/test/job_rank_test.cc
@@ -48,4 +48,31 @@
   CHECK(ClassAt(Instant(seconds(23))) == JobRank::Class::kExpired);
 }
 
+// Guards against a sum of estimates that overflows: callers may send any
+// estimate, size and number of tasks.
+TEST_CASE("a job of the longest estimates ranks after a usual one") {
+  auto spec = std::make_shared<JobSpec>(*ChainOfThree().spec);
+  for (StepSpec& it : spec->steps) {
+    it.tasks = 5'000;
+    it.size.cpu_millis = 4'294'967'295;
+    it.estimate = milliseconds(3'000'000'000'000);
+  }
+  TrackedJob job;
+  job.spec = spec;
+  job.occurrences[0] = MakeOccurrence(job, 0);
+  const QueuePolicy policy{.stretch = 1.5, .target_latency = milliseconds(500)};
+  for (const double stretch : {1.5, 1e300}) {
+    CAPTURE(stretch);
+    const QueuePolicy it{.stretch = stretch,
+                         .target_latency = milliseconds(500)};
+    const Instant now(seconds(3));
+    for (const Duration mean : {Duration(0), Duration(seconds(2))}) {
+      const JobRank rank = RankJob(job, it, mean, now);
+      CHECK(rank.job_class == JobRank::Class::kInTime);
+      CHECK(rank > RankJob(ChainOfThree(), policy, seconds(2), now));
+      CHECK(rank.key > 0);
+    }
+  }
+}
+
 }  // namespace pomelomill
