Size pools by the median VM instead of the first one

What would be seen: the size of the first VM in the list counted for all. With 0 no pool was sized, with 1 each pool required all VMs, with 4,294,967,295 each required the minimum, and VMs were closed and moved accordingly.

Change: the median of the VMs whose size is known. The number of VMs that a demand requires is bounded, as a conversion from a larger one is undefined.

Test: pool_sizer_test, "one VM of an odd size does not change the sizes of the pools", failed before; "a demand beyond all numbers requires all VMs at most" passed before.

--- a/libs/fleet/include/pomelomill/fleet/pool_sizer.h
+++ b/libs/fleet/include/pomelomill/fleet/pool_sizer.h
@@ -160,8 +160,6 @@
   /// recent demand report.
   void ComputeRequirement(const PoolId& pool, Instant now,
                           PoolCapacity& capacity) const;
-  /// CPU of one VM; all VMs are taken to be of the same size.
-  std::uint32_t cpu_millis_per_vm() const;
   /// The given share of all VMs, rounded down.
   std::uint32_t VmCountForShare(double share) const;
   /// Removes the VM that pool `to` should get next from the snapshot's lists
@@ -182,6 +180,8 @@
 
   PoolSizerOptions options_;
   std::map<VmId, FleetVm> vms_;
+  /// CPU of one VM; all VMs are taken to be of the same size.
+  std::uint32_t cpu_millis_per_vm_ = 0;
   std::set<PoolId> pools_;
   std::set<PoolId> spare_pools_;
   std::set<VmId> reserved_vms_;
--- a/libs/fleet/src/pool_sizer.cc
+++ b/libs/fleet/src/pool_sizer.cc
@@ -15,6 +15,20 @@
   return std::tie(a.first, a.second->vm) < std::tie(b.first, b.second->vm);
 }
 
+/// Returns the median CPU of the VMs of which it is known, 0 when there are
+/// none. A few VMs of an odd size do not change it.
+std::uint32_t MedianCpuMillis(const std::vector<FleetVm>& vms) {
+  std::vector<std::uint32_t> known;
+  known.reserve(vms.size());
+  for (const FleetVm& it : vms)
+    if (it.cpu_millis != 0) known.push_back(it.cpu_millis);
+  if (known.empty()) return 0;
+  const auto middle =
+      known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
 }  // namespace
 
 void PoolSizer::SetVms(const std::vector<FleetVm>& vms,
@@ -26,6 +40,7 @@
     vms_[it.vm] = it;
     if (!spare_pools.contains(it.pool)) pools_.insert(it.pool);
   }
+  cpu_millis_per_vm_ = MedianCpuMillis(vms);
   spare_pools_ = spare_pools;
   SetReservedVms(reserved_vms);
   // A move has ended when the VM is up in its new pool with another worker.
@@ -51,9 +66,9 @@
   DemandHistory& it = demand_[pool];
   it.latest = demand;
   it.idle_workers = {demand.idle_workers.begin(), demand.idle_workers.end()};
-  it.cpu_millis.emplace_back(demand.reported_at,
-                             static_cast<double>(demand.running_cpu_millis +
-                                                 demand.waiting_cpu_millis));
+  it.cpu_millis.emplace_back(
+      demand.reported_at, static_cast<double>(demand.running_cpu_millis) +
+                              static_cast<double>(demand.waiting_cpu_millis));
   while (demand.reported_at - it.cpu_millis.front().first >
          options_.trend_window)
     it.cpu_millis.pop_front();
@@ -91,10 +106,6 @@
   return vms;
 }
 
-std::uint32_t PoolSizer::cpu_millis_per_vm() const {
-  return vms_.empty() ? 0 : vms_.begin()->second.cpu_millis;
-}
-
 std::uint32_t PoolSizer::VmCountForShare(double share) const {
   return static_cast<std::uint32_t>(static_cast<double>(vms_.size()) * share);
 }
@@ -104,12 +115,14 @@
   const auto it = demand_.find(pool);
   if (it == demand_.end() ||
       now - it->second.latest.reported_at > options_.max_demand_age ||
-      cpu_millis_per_vm() == 0)
+      cpu_millis_per_vm_ == 0)
     return;
   const auto vms_for = [&](double cpu_millis) {
-    return std::max(
-        static_cast<std::uint32_t>(std::ceil(cpu_millis / cpu_millis_per_vm())),
-        options_.min_vms);
+    // Any larger number has the same effect on a fleet of any size.
+    constexpr double kMostVms = 1e6;
+    const double vms =
+        std::min(std::ceil(cpu_millis / cpu_millis_per_vm_), kMostVms);
+    return std::max(static_cast<std::uint32_t>(vms), options_.min_vms);
   };
   const double demand = it->second.cpu_millis.back().second;
   const double growth =
--- a/libs/fleet/test/pool_sizer_test.cc
+++ b/libs/fleet/test/pool_sizer_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <limits>
+
 #include "pomelomill/fleet.h"
 
 namespace pomelomill {
@@ -69,6 +71,42 @@
   for (const auto& move : plan.moves) CHECK(move.to == PoolId("a"));
 }
 
+// Guards against one VM of an odd size that decides how many VMs each pool
+// gets: none is sized, or all VMs are closed and moved.
+TEST_CASE("one VM of an odd size does not change the sizes of the pools") {
+  for (const std::uint32_t odd : {0U, 1U, 4'294'967'295U}) {
+    CAPTURE(odd);
+    Deployment it;
+    it.vms.front().cpu_millis = odd;
+    it.SetVms();
+    it.ReportDemand("a", 6 * kVmCpuMillis, 6 * kVmCpuMillis, 0);
+    it.ReportDemand("b", 0, 0, 0);
+    const SizePlan plan = it.sizer.Plan(At(0));
+    CHECK(plan.moves.size() == 3);
+    CHECK(plan.workers_to_close.size() == 2);
+    Deployment idle;
+    idle.vms.front().cpu_millis = odd;
+    idle.SetVms();
+    idle.ReportDemand("a", 2 * kVmCpuMillis, 0, 0);
+    idle.ReportDemand("b", 2 * kVmCpuMillis, 0, 0);
+    CHECK(idle.sizer.Plan(At(0)).moves.empty());
+  }
+}
+
+TEST_CASE("a demand beyond all numbers requires all VMs at most") {
+  Deployment it;
+  const std::uint64_t most = std::numeric_limits<std::uint64_t>::max();
+  it.ReportDemand("a", most / 2, most / 2, 0);
+  it.ReportDemand("b", 0, 0, 0);
+  const SizePlan plan = it.sizer.Plan(At(0));
+  CHECK(plan.moves.size() == 3);
+  CHECK(plan.workers_to_close.size() == 2);
+  for (FleetVm& vm : it.vms) vm.cpu_millis = 0;
+  it.SetVms();
+  it.ReportDemand("a", most / 2, most / 2, 100);
+  CHECK(it.sizer.Plan(At(100)).workers_to_close.empty());
+}
+
 TEST_CASE("the work of one plan grows linearly with the number of VMs") {
   // Load pattern: a peak takes a third of the fleet from idle pools at once.
   // Guards against a plan that takes longer to compute than the lease of the
