Reject stored values that are nested deeply or have numbers out of range

A number beyond 32 bits, a fraction or a negative number was read as another one, and a member with hardly any or endless capacity gave shares of roles that are no numbers.

Change: the decoders of stored values and of peers' answers read integers by JsonInteger, which accepts only what the field holds, and check the nesting first. A member's capacity outside of 10^-6 to 10^9 counts as the usual one. Records that this service has written decode as before.

--- a/libs/dispatch/src/job_progress.cc
+++ b/libs/dispatch/src/job_progress.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "pomelomill/base/json_number.h"
+#include "pomelomill/base/json_text.h"
 #include "pomelomill/dispatch/dispatch_error.h"
 
 namespace pomelomill {
@@ -53,6 +55,8 @@
 }
 
 Result<JobProgress> DecodeJobProgress(std::string_view text) {
+  if (!IsJsonWithinDepth(text))
+    return Unexpected(DispatchError::kMalformedRecord);
   try {
     const Json json = Json::parse(text);
     JobProgress progress;
@@ -64,21 +68,22 @@
       is_known = true;
     }
     if (!is_known) return Unexpected(DispatchError::kMalformedRecord);
-    progress.ended_ms = json.value("ended", std::int64_t{0});
+    if (const auto it = json.find("ended"); it != json.end())
+      progress.ended_ms = JsonMillis(*it);
     if (const auto rows = json.find("tasks"); rows != json.end()) {
       for (const Json& it : *rows) {
         progress.tasks.push_back(
-            {.occurrence = it.at(0).get<std::uint32_t>(),
-             .step = it.at(1).get<std::uint32_t>(),
-             .index = it.at(2).get<std::uint32_t>(),
+            {.occurrence = JsonInteger<std::uint32_t>(it.at(0)),
+             .step = JsonInteger<std::uint32_t>(it.at(1)),
+             .index = JsonInteger<std::uint32_t>(it.at(2)),
              .is_done = it.at(3).get<bool>(),
-             .failed_runs = it.at(4).get<std::vector<std::uint32_t>>(),
+             .failed_runs = JsonIntegers<std::uint32_t>(it.at(4)),
              .checkpoint = it.at(5).get<std::string>()});
         if (it.size() <= kCrashedRunsColumn) continue;
         progress.tasks.back().crashed_runs =
-            it.at(kCrashedRunsColumn).get<std::vector<std::uint32_t>>();
+            JsonIntegers<std::uint32_t>(it.at(kCrashedRunsColumn));
         progress.tasks.back().unfinished_run =
-            it.at(kCrashedRunsColumn + 1).get<std::uint32_t>();
+            JsonInteger<std::uint32_t>(it.at(kCrashedRunsColumn + 1));
       }
     }
     return progress;
--- a/libs/dispatch/src/job_spec.cc
+++ b/libs/dispatch/src/job_spec.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "pomelomill/base/json_number.h"
+#include "pomelomill/base/json_text.h"
 #include "pomelomill/dispatch/dispatch_error.h"
 
 namespace pomelomill {
@@ -19,10 +21,21 @@
   Put(json, name, ToMillis(value));
 }
 
+void Set(std::string& target, const Json& json) { json.get_to(target); }
+void Set(bool& target, const Json& json) { json.get_to(target); }
+void Set(std::uint32_t& target, const Json& json) {
+  target = JsonInteger<std::uint32_t>(json);
+}
+/// A time in milliseconds.
+void Set(std::int64_t& target, const Json& json) { target = JsonMillis(json); }
+void Set(std::vector<std::uint32_t>& target, const Json& json) {
+  target = JsonIntegers<std::uint32_t>(json);
+}
+
 /// Leaves `target` unchanged when the field is absent.
 template <typename T>
 void Get(const Json& json, const char* name, T& target) {
-  if (const auto it = json.find(name); it != json.end()) it->get_to(target);
+  if (const auto it = json.find(name); it != json.end()) Set(target, *it);
 }
 
 void GetTime(const Json& json, const char* name, Duration& target) {
@@ -139,6 +152,8 @@
 }
 
 Result<JobSpec> DecodeJobSpec(std::string_view text) {
+  if (!IsJsonWithinDepth(text))
+    return Unexpected(DispatchError::kMalformedRecord);
   try {
     const Json json = Json::parse(text);
     JobSpec spec;
--- a/libs/jobserver/src/store_records.cc
+++ b/libs/jobserver/src/store_records.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pomelomill/base/json_number.h"
+#include "pomelomill/base/json_text.h"
 #include "pomelomill/dispatch/dispatch_error.h"
 
 namespace pomelomill {
@@ -9,10 +11,12 @@
 
 using Json = nlohmann::json;
 
-/// Parses `text` and fills in a record by `read`; a JSON exception becomes
-/// kMalformedRecord.
+/// Parses `text` and fills in a record by `read`; deep nesting and a JSON
+/// exception become kMalformedRecord.
 template <typename T, typename Read>
 Result<T> Decode(const std::string& text, Read read) {
+  if (!IsJsonWithinDepth(text))
+    return Unexpected(DispatchError::kMalformedRecord);
   try {
     T record;
     read(Json::parse(text), record);
@@ -30,6 +34,13 @@
   return json.at(name).get<std::string>();
 }
 
+/// Whether shares of the capacity can be computed.
+bool IsUsableCapacity(double capacity) {
+  constexpr double kLeast = 1e-6;
+  constexpr double kMost = 1e9;
+  return capacity >= kLeast && capacity <= kMost;
+}
+
 }  // namespace
 
 std::string EncodeJobLocation(const JobLocation& location) {
@@ -79,10 +90,10 @@
     it.capacity.cpu_cores = json.value("cpu", defaults.cpu_cores);
     it.capacity.memory_mb = json.value("memory_mb", defaults.memory_mb);
     it.capacity.link_mbps = json.value("link_mbps", defaults.link_mbps);
-    const bool is_positive = it.capacity.cpu_cores > 0 &&
-                             it.capacity.memory_mb > 0 &&
-                             it.capacity.link_mbps > 0;
-    if (!is_positive) it.capacity = defaults;
+    const bool is_usable = IsUsableCapacity(it.capacity.cpu_cores) &&
+                           IsUsableCapacity(it.capacity.memory_mb) &&
+                           IsUsableCapacity(it.capacity.link_mbps);
+    if (!is_usable) it.capacity = defaults;
   });
 }
 
@@ -124,12 +135,13 @@
 
 Result<DispatchLoad> DecodeLoad(const std::string& text) {
   return Decode<DispatchLoad>(text, [](const Json& json, DispatchLoad& it) {
-    json.at("running").get_to(it.running_cpu_millis);
-    json.at("waiting").get_to(it.waiting_cpu_millis);
+    it.running_cpu_millis = JsonInteger<std::uint64_t>(json.at("running"));
+    it.waiting_cpu_millis = JsonInteger<std::uint64_t>(json.at("waiting"));
     for (const Json& id : json.at("idle"))
       it.idle.emplace_back(id.get<std::string>());
     for (const auto& [id, used] : json.at("light").items())
-      it.lightly_loaded.push_back({WorkerId(id), used.get<std::uint32_t>()});
+      it.lightly_loaded.push_back(
+          {WorkerId(id), JsonInteger<std::uint32_t>(used)});
   });
 }
 
@@ -142,7 +154,7 @@
 
 Result<RosterRecord> DecodeRoster(const std::string& text) {
   return Decode<RosterRecord>(text, [](const Json& json, RosterRecord& it) {
-    json.at("owners").get_to(it.owner_count);
+    it.owner_count = JsonInteger<std::uint32_t>(json.at("owners"));
     for (const auto& [id, address] : json.at("workers").items())
       it.workers[WorkerId(id)] = address.get<std::string>();
   });
--- a/libs/jobserver/src/store_records.h
+++ b/libs/jobserver/src/store_records.h
@@ -45,8 +45,8 @@
   ZoneId zone;
   IncarnationId incarnation;
   /// Decoded with the default for each part that the record lacks, since older
-  /// versions did not write it, and entirely with defaults when a part is not
-  /// positive.
+  /// versions did not write it, and entirely with defaults when a part is
+  /// hardly positive or beyond any machine's.
   EntryCapacity capacity;
 };
 
