--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <utility>
 
+#include "pomelomill/dispatch/dispatch_error.h"
 #include "pomelomill/store/store_error.h"
 #include "store_keys.h"
 
@@ -175,6 +176,8 @@
   };
   hooks.worker_prefix = "servers/";
   hooks.decode_worker = [](const StoredKey& key) -> Result<ListedWorker> {
+    if (!key.value.starts_with("ready ") && !key.value.starts_with("draining "))
+      return Unexpected(DispatchError::kMalformedRecord);
     ListedWorker worker;
     const std::string id = key.key.substr(key.key.find('/') + 1);
     worker.spec = DecodeEntry(WorkerId(id), key.value);
