Wait for the other entries after all leases have lapsed

Cause: three parts. The changes of one answer of the store are applied one by one and the decision ran after each, so that an entry with a new lease saw roles without owners while others still had some, took this for a takeover, and chose among the members left in the view: itself. Members were tracked only while the lease was held, so the startup wait counted from the first start of the deployment. And the wait ended 0.5 s after the latest registration even if a single entry was back.

Now a decision is made once all changes of an answer are applied. The startup wait counts from the first registration since the last role lost its owner; an entry that registers again counts. It ends early only when the registered entries can carry all roles, none with more than half of the work, and after 2 s in any case. A takeover has no wait, as before. An `ownership` `startup-wait` line has the reason. A deployment that is too small for this (one entry, say) starts 1.5 s later than before.

Ruled out by the trace of the new test: that the members are never seen empty is not the cause by itself; with the tracking moved alone, one entry still acquired all six roles in the middle of the answer.

Test that failed before: "after all leases have lapsed roles wait for the other entries" (one entry ended with 5 roles, four with none). "an entry that stays alone acquires all roles in the end" guards the bound of the wait.

--- a/libs/jobserver/src/cluster_view.cc
+++ b/libs/jobserver/src/cluster_view.cc
@@ -77,6 +77,82 @@
   EntryCapacity used_{.cpu_cores = 0, .memory_mb = 0, .link_mbps = 0};
 };
 
+struct Choice {
+  Fit fit;
+  EntryId entry;
+};
+
+struct Choices {
+  std::map<PoolId, EntryId> owners;
+  Fit worst_fit = Fit::kFits;
+};
+
+/// Loads of the entries with the roles that they own.
+class Assignment {
+ public:
+  Assignment(const Roles& roles, const std::map<PoolId, EntryId>& owned,
+             const std::map<EntryId, MemberRecord>& members) {
+    for (const auto& [entry, member] : members) loads_.emplace(entry, member);
+    for (const auto& [pool, kind] : roles) {
+      const EntryCapacity demand = DemandOf(kind);
+      total_cpu_cores_ += demand.cpu_cores;
+      const auto owner = owned.find(pool);
+      if (owner == owned.end()) {
+        unowned_.emplace_back(pool, demand);
+      } else {
+        Add(owner->second, demand);
+      }
+    }
+    // Falling demand, so that the small roles even out the loads.
+    std::stable_sort(unowned_.begin(), unowned_.end(),
+                     [](const auto& a, const auto& b) {
+                       return a.second.cpu_cores > b.second.cpu_cores;
+                     });
+  }
+
+  /// Chooses an entry for each role without an owner. Empty without members.
+  Choices AssignAll() {
+    Choices choices;
+    for (const auto& [pool, demand] : unowned_) {
+      const auto best = FindBest(pool, demand);
+      if (!best) break;
+      Add(best->entry, demand);
+      choices.owners[pool] = best->entry;
+      choices.worst_fit = std::max(choices.worst_fit, best->fit);
+    }
+    return choices;
+  }
+
+ private:
+  std::optional<Choice> FindBest(const PoolId& pool,
+                                 const EntryCapacity& demand) const {
+    using Rank = std::tuple<Fit, std::int64_t, std::size_t, std::uint64_t>;
+    std::optional<std::pair<Rank, EntryId>> best;
+    for (const auto& [entry, load] : loads_) {
+      const auto zone = roles_in_zone_.find(load.zone());
+      const Rank rank{load.FitWith(demand, total_cpu_cores_),
+                      load.UtilizationPpmWith(demand),
+                      zone == roles_in_zone_.end() ? 0 : zone->second,
+                      StableHash(pool.value() + "/" + entry.value())};
+      if (!best || rank < best->first) best = {rank, entry};
+    }
+    if (!best) return std::nullopt;
+    return Choice{std::get<Fit>(best->first), best->second};
+  }
+
+  void Add(const EntryId& entry, const EntryCapacity& demand) {
+    const auto it = loads_.find(entry);
+    if (it == loads_.end()) return;
+    it->second.Add(demand);
+    ++roles_in_zone_[it->second.zone()];
+  }
+
+  std::map<EntryId, EntryLoad> loads_;
+  std::map<ZoneId, std::size_t> roles_in_zone_;
+  double total_cpu_cores_ = 0;
+  std::vector<std::pair<PoolId, EntryCapacity>> unowned_;
+};
+
 }  // namespace
 
 bool ClusterView::Apply(const StoredKey& change) {
@@ -86,10 +162,12 @@
   if (key.starts_with(kMembers)) {
     const EntryId entry(std::string(key.substr(kMembers.size())));
     members_.erase(entry);
+    registrations_.erase(entry);
     if (change.is_removed) return true;
     const auto member = DecodeMember(change.value);
     if (!member) return false;
     members_[entry] = *member;
+    registrations_[entry] = change.version;
     return true;
   }
   if (key.starts_with(kOwners)) {
@@ -120,45 +198,13 @@
 std::map<PoolId, EntryId> ChooseOwners(
     const Roles& roles, const std::map<PoolId, EntryId>& owned,
     const std::map<EntryId, MemberRecord>& members) {
-  std::map<EntryId, EntryLoad> loads;
-  for (const auto& [entry, member] : members) loads.emplace(entry, member);
-  std::map<ZoneId, std::size_t> roles_in_zone;
-  double total_cpu_cores = 0;
-  // Sorted by falling demand below, so that the small roles even out the loads.
-  std::vector<std::pair<PoolId, EntryCapacity>> unowned;
-  for (const auto& [pool, kind] : roles) {
-    const EntryCapacity demand = DemandOf(kind);
-    total_cpu_cores += demand.cpu_cores;
-    const auto owner = owned.find(pool);
-    if (owner == owned.end()) {
-      unowned.emplace_back(pool, demand);
-    } else if (const auto it = loads.find(owner->second); it != loads.end()) {
-      it->second.Add(demand);
-      ++roles_in_zone[it->second.zone()];
-    }
-  }
-  std::stable_sort(unowned.begin(), unowned.end(),
-                   [](const auto& a, const auto& b) {
-                     return a.second.cpu_cores > b.second.cpu_cores;
-                   });
-  std::map<PoolId, EntryId> chosen;
-  for (const auto& [pool, demand] : unowned) {
-    using Rank = std::tuple<Fit, std::int64_t, std::size_t, std::uint64_t>;
-    std::optional<std::pair<Rank, EntryId>> best;
-    for (const auto& [entry, load] : loads) {
-      const Rank rank{load.FitWith(demand, total_cpu_cores),
-                      load.UtilizationPpmWith(demand),
-                      roles_in_zone[load.zone()],
-                      StableHash(pool.value() + "/" + entry.value())};
-      if (!best || rank < best->first) best = {rank, entry};
-    }
-    if (!best) break;
-    EntryLoad& load = loads.at(best->second);
-    load.Add(demand);
-    ++roles_in_zone[load.zone()];
-    chosen[pool] = best->second;
-  }
-  return chosen;
+  return Assignment(roles, owned, members).AssignAll().owners;
+}
+
+bool CanCarryRoles(const Roles& roles,
+                   const std::map<EntryId, MemberRecord>& members) {
+  return !members.empty() &&
+         Assignment(roles, {}, members).AssignAll().worst_fit == Fit::kFits;
 }
 
 }  // namespace pomelomill
--- a/libs/jobserver/src/cluster_view.h
+++ b/libs/jobserver/src/cluster_view.h
@@ -24,6 +24,11 @@
   bool Apply(const StoredKey& change);
 
   const std::map<EntryId, MemberRecord>& members() const { return members_; }
+  /// Version of each entry's registration, which changes when the entry
+  /// registers again.
+  const std::map<EntryId, Version>& registrations() const {
+    return registrations_;
+  }
   const std::map<PoolId, Owner>& owners() const { return owners_; }
   /// Null when the pool has no owner.
   const Owner* FindOwner(const PoolId& pool) const;
@@ -33,6 +38,7 @@
 
  private:
   std::map<EntryId, MemberRecord> members_;
+  std::map<EntryId, Version> registrations_;
   std::map<PoolId, Owner> owners_;
 };
 
@@ -58,4 +64,9 @@
     const Roles& roles, const std::map<PoolId, EntryId>& owned,
     const std::map<EntryId, MemberRecord>& members);
 
+/// Whether the entries have the capacity for all roles, none of them with more
+/// than half of the CPU demand.
+bool CanCarryRoles(const Roles& roles,
+                   const std::map<EntryId, MemberRecord>& members);
+
 }  // namespace pomelomill
--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "pomelomill/store/store_error.h"
@@ -17,7 +18,10 @@
 /// passed since the latest registration of an entry; otherwise the first entry
 /// of a new deployment would acquire all roles.
 constexpr Duration kStartupWait = std::chrono::milliseconds(500);
-/// Upper bound of that wait, counted from the first registration.
+/// Upper bound of that wait, counted from the first registration since the last
+/// role lost its owner. Also waited for while the registered entries cannot
+/// carry all roles: entries that were cut off from the store do not register
+/// all at once.
 constexpr Duration kMaxStartupWait = std::chrono::milliseconds(2000);
 /// The other entries try to acquire a role this long after the entry that was
 /// chosen for it.
@@ -42,7 +46,7 @@
   void Halt() {
     is_halted_ = true;
     hooks_ = {};
-    timers_.Cancel(update_timer_);
+    timers_.Cancel(decision_timer_);
   }
 
   void SetRoles(Roles roles) {
@@ -53,9 +57,10 @@
   void Update() {
     if (is_halted_) return;
     DropLost();
-    if (is_leaving_ || !lease_.is_held()) return;
-    Register();
-    Acquire();
+    // The changes of one answer of the store are delivered one by one. In
+    // between the view shows roles without owners and few members, of which no
+    // conclusion may be drawn.
+    ScheduleDecision(Duration(0));
   }
 
   void Leave() {
@@ -80,6 +85,18 @@
     return owner.entry == settings_.entry && owner.incarnation == incarnation_;
   }
 
+  void Event(std::string_view event, std::vector<EventField> fields) {
+    if (hooks_.event) hooks_.event("ownership", event, std::move(fields));
+  }
+
+  void Decide() {
+    // Also without a lease: all leases may lapse together.
+    TrackMembers(timers_.Now());
+    if (is_leaving_ || !lease_.is_held()) return;
+    Register();
+    Acquire();
+  }
+
   void DropLost() {
     std::vector<PoolId> lost;
     for (const auto& [pool, token] : owned_) {
@@ -97,8 +114,7 @@
     for (const PoolId& it : lost) {
       owned_.erase(it);
       observed_.erase(it);
-      if (hooks_.event)
-        hooks_.event("ownership", "lost", {{"pool", it.value()}});
+      Event("lost", {{"pool", it.value()}});
       hooks_.on_lost(it);
     }
   }
@@ -123,15 +139,14 @@
           if (self == nullptr || self->is_halted_) return;
           self->is_registering_ = false;
           if (result && result->is_committed) self->registered_lease_ = lease;
-          self->ScheduleUpdate(kRetryPause);
+          self->ScheduleDecision(kRetryPause);
         });
   }
 
   void Acquire() {
     const Instant now = timers_.Now();
-    TrackMembers(now);
     const Instant earliest =
-        view_.owners().empty() ? FirstAcquisitionTime() : now;
+        view_.owners().empty() ? FirstAcquisitionTime(now) : now;
     std::vector<PoolId> unowned;
     std::map<PoolId, EntryId> owned;
     for (const auto& [role, kind] : roles_) {
@@ -170,30 +185,45 @@
       if (now >= due) {
         TryAcquire(role, Version());
       } else {
-        ScheduleUpdate(due - now);
+        ScheduleDecision(due - now);
       }
     }
   }
 
   void TrackMembers(Instant now) {
-    std::set<EntryId> members;
-    for (const auto& [entry, record] : view_.members()) {
-      members.insert(entry);
-      if (!known_members_.contains(entry)) last_join_at_ = now;
+    const bool is_vacant = view_.owners().empty();
+    if (is_vacant && !is_vacant_) {
+      first_join_at_.reset();
+      is_wait_logged_ = false;
+    }
+    is_vacant_ = is_vacant;
+    if (view_.registrations() == registrations_) return;
+    for (const auto& [entry, version] : view_.registrations()) {
+      const auto known = registrations_.find(entry);
+      if (known != registrations_.end() && known->second == version) continue;
+      last_join_at_ = now;
+      if (!first_join_at_) first_join_at_ = now;
     }
-    // When all entries are gone, kMaxStartupWait counts from the next
-    // registration.
-    if (members.empty()) first_join_at_.reset();
-    if (!members.empty() && !first_join_at_) first_join_at_ = now;
-    known_members_ = std::move(members);
+    registrations_ = view_.registrations();
   }
 
-  /// Earliest time to acquire a role while no role has an owner.
-  Instant FirstAcquisitionTime() const {
-    const Instant now = timers_.Now();
-    const Instant first = first_join_at_.value_or(now);
-    return std::min(std::max(first, last_join_at_) + kStartupWait,
-                    first + kMaxStartupWait);
+  /// Earliest time to acquire a role while no role has an owner. In the past
+  /// when the entries registered long ago: a takeover has no wait.
+  Instant FirstAcquisitionTime(Instant now) {
+    if (!last_join_at_) return now + kStartupWait;
+    const Instant latest =
+        first_join_at_.value_or(*last_join_at_) + kMaxStartupWait;
+    const bool can_carry = CanCarryRoles(roles_, view_.members());
+    const Instant due =
+        can_carry ? std::min(*last_join_at_ + kStartupWait, latest) : latest;
+    if (due > now && !std::exchange(is_wait_logged_, true)) {
+      Event("startup-wait",
+            {{"reason", can_carry ? "recent registration"
+                                  : "the entries cannot carry all roles"},
+             {"members", std::to_string(view_.members().size())},
+             {"wait_ms", std::to_string(ToMillis(due - now))}});
+    }
+    return due;
   }
 
   void TryAcquire(const PoolId& pool, Version expected) {
@@ -227,34 +257,32 @@
           return RecordAcquisition(pool, it.version);
       }
     }
-    ScheduleUpdate(kRetryPause);
+    ScheduleDecision(kRetryPause);
   }
 
   void RecordAcquisition(const PoolId& pool, Version version) {
     const FencingToken token(version.value());
     if (is_leaving_ || owned_.contains(pool)) return;
     owned_[pool] = token;
-    if (hooks_.event) {
-      hooks_.event("ownership", "acquired",
-                   {{"pool", pool.value()},
-                    {"token", std::to_string(token.value())},
-                    {"roles", std::to_string(owned_.size())},
-                    {"members", std::to_string(view_.members().size())}});
-    }
+    Event("acquired", {{"pool", pool.value()},
+                       {"token", std::to_string(token.value())},
+                       {"roles", std::to_string(owned_.size())},
+                       {"members", std::to_string(view_.members().size())}});
     hooks_.on_acquired(pool, token, acquisition_lease_[pool]);
   }
 
-  void ScheduleUpdate(Duration pause) {
+  void ScheduleDecision(Duration pause) {
     const Instant when = timers_.Now() + pause;
-    if (is_update_scheduled_ && update_at_ <= when) return;
-    timers_.Cancel(update_timer_);
-    is_update_scheduled_ = true;
-    update_at_ = when;
-    update_timer_ = timers_.ScheduleAt(when, [weak = weak_from_this()] {
+    if (is_decision_scheduled_ && decision_at_ <= when) return;
+    timers_.Cancel(decision_timer_);
+    is_decision_scheduled_ = true;
+    decision_at_ = when;
+    decision_timer_ = timers_.ScheduleAt(when, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self == nullptr || self->is_halted_) return;
-      self->is_update_scheduled_ = false;
-      self->Update();
+      self->is_decision_scheduled_ = false;
+      self->DropLost();
+      self->Decide();
     });
   }
 
@@ -273,17 +301,21 @@
   std::set<PoolId> acquiring_;
   /// Time from which the chosen entry may acquire each role without an owner.
   std::map<PoolId, Instant> acquirable_at_;
-  std::set<EntryId> known_members_;
-  /// Times at which the first and the latest member appeared in the view.
+  /// Registrations of the view as of the latest update.
+  std::map<EntryId, Version> registrations_;
+  /// Time of the first registration since the last role lost its owner.
   std::optional<Instant> first_join_at_;
-  Instant last_join_at_{};
+  std::optional<Instant> last_join_at_;
+  /// Whether no role had an owner as of the latest update.
+  bool is_vacant_ = true;
+  bool is_wait_logged_ = false;
   /// Lease to which the latest acquisition of each role is attached.
   std::map<PoolId, LeaseId> acquisition_lease_;
   /// Lease to which the entry's registration is attached.
   LeaseId registered_lease_;
-  Instant update_at_{};
-  TimerId update_timer_ = 0;
-  bool is_update_scheduled_ = false;
+  Instant decision_at_{};
+  TimerId decision_timer_ = 0;
+  bool is_decision_scheduled_ = false;
   bool is_registering_ = false;
   bool is_leaving_ = false;
   bool is_halted_ = false;
--- a/libs/jobserver/test/ownership_test.cc
+++ b/libs/jobserver/test/ownership_test.cc
@@ -69,17 +69,18 @@
 /// The parts of an entry that acquire roles, on a store shared with others.
 struct Entry {
   Entry(FakeKvStore& store, VirtualTimerService& timers,
-        const std::string& name, const EntryCapacity& capacity)
+        const std::string& name, const EntryCapacity& capacity,
+        const std::string& incarnation = "1")
       : client(store.Client(timers, faults)),
         leases(store.Leases(timers, faults)),
         lease(leases, timers,
               {.ttl = seconds(3), .drift_margin = milliseconds(300)},
               {.on_held = [this](const LeaseId&) { ownership.Update(); }}),
-        ownership(
-            client, timers, lease, view, Settings(name, capacity),
-            IncarnationId(name + ".1"),
-            {.on_acquired = [](const PoolId&, FencingToken, const LeaseId&) {},
-             .on_lost = [](const PoolId&) {}}),
+        ownership(client, timers, lease, view, Settings(name, capacity),
+                  IncarnationId(name + "." + incarnation),
+                  {.on_acquired = [this](const PoolId&, FencingToken,
+                                         const LeaseId&) { ++acquisitions; },
+                   .on_lost = [](const PoolId&) {}}),
         cluster(client, timers, kClusterPrefix,
                 {.on_change =
                      [this](const StoredKey& change) {
@@ -101,6 +102,7 @@
     return settings;
   }
 
+  std::size_t acquisitions = 0;
   StoreFaults faults;
   JobServiceSettings settings;
   TransactionClient client;
@@ -111,6 +113,25 @@
   PrefixFollower cluster;
 };
 
+using Entries = std::vector<std::unique_ptr<Entry>>;
+
+/// Adds `n` strong entries that start at once.
+void AddEntries(Entries& entries, FakeKvStore& store,
+                VirtualTimerService& timers, std::size_t n) {
+  for (std::size_t i = 0; i < n; ++i) {
+    entries.push_back(std::make_unique<Entry>(
+        store, timers, "e" + std::to_string(entries.size()), kStrong));
+  }
+}
+
+/// Number of roles that some entry owns; a role that several entries own counts
+/// for each.
+std::size_t CountOwnedRoles(const Entries& entries) {
+  std::size_t n = 0;
+  for (const auto& it : entries) n += it->ownership.owned().size();
+  return n;
+}
+
 }  // namespace
 
 // Guards against weak entries that acquire all roles because they started
@@ -167,6 +188,49 @@
   CHECK(pools.size() == 6);
 }
 
+// Guards against the first entry that has a lease again acquiring all roles.
+TEST_CASE("after all leases have lapsed roles wait for the other entries") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  AddEntries(entries, store, timers, 6);
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  for (const auto& it : entries) it->faults.is_cut = true;
+  timers.Advance(seconds(5));
+  store.RevokeLeases();
+  entries[0]->faults.is_cut = false;
+  for (int i = 0; i < 40; ++i) {
+    CAPTURE(i);
+    if (i == 13) {
+      for (const auto& it : entries) it->faults.is_cut = false;
+    }
+    timers.Advance(milliseconds(100));
+    if (entries[0]->lease.is_held() && i > 2)
+      CHECK(entries[0]->ownership.owned().size() <= 1);
+  }
+  CHECK(CountOwnedRoles(entries) == 6);
+  for (const auto& it : entries) CHECK(it->ownership.owned().size() == 1);
+}
+
+// Guards against a startup wait without bound when the other entries do not
+// come back.
+TEST_CASE("an entry that stays alone acquires all roles in the end") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  AddEntries(entries, store, timers, 6);
+  timers.Advance(seconds(4));
+  for (const auto& it : entries) it->faults.is_cut = true;
+  timers.Advance(seconds(5));
+  store.RevokeLeases();
+  entries[0]->faults.is_cut = false;
+  // Up to 2.5 s until the lease and the watch are back, and the longest startup
+  // wait.
+  timers.Advance(seconds(5));
+  CHECK(entries[0]->ownership.owned().size() == 6);
+}
+
 // Guards against roles without an owner, and against an entry with two roles
 // while equal entries have none.
 TEST_CASE("equal entries get one role each") {
