Let a restarted entry take back only what it can carry

A restarted entry acquired every role whose owner key named its previous process, also all of a deployment's, while the other entries owned none; each restart of an overloaded owner made it the overloaded owner again.

Now it takes back at once the roles that fit its capacity and half of the work, and those for which no entry fits better. It removes the owner key of the others, whose owner has ended, so that they are chosen again within milliseconds and not after the lease of the previous process (3 s). The line `ownership` `remove-stale-owner` names each. An entry with its share keeps it, since any other owner would have to load the pool just the same.

Weighed: leaving the keys to the lapse of the lease. It needs no removal, but leaves pools without an owner for up to 3 s.

Test that failed before: "a restarted entry takes back only the roles that it can carry" (6 roles instead of at most 3, five entries idle). "a restarted entry takes back its share at once" passed before and after.

--- a/libs/jobserver/src/cluster_view.cc
+++ b/libs/jobserver/src/cluster_view.cc
@@ -123,6 +123,24 @@
     return choices;
   }
 
+  /// Assigns to the entry those of the roles that fit. Returns them.
+  std::set<PoolId> AssignFitting(const std::set<PoolId>& roles,
+                                 const EntryId& entry) {
+    std::set<PoolId> assigned;
+    const auto load = loads_.find(entry);
+    if (load == loads_.end()) return assigned;
+    for (const auto& [pool, demand] : unowned_) {
+      if (!roles.contains(pool) ||
+          load->second.FitWith(demand, total_cpu_cores_) != Fit::kFits)
+        continue;
+      Add(entry, demand);
+      assigned.insert(pool);
+    }
+    std::erase_if(unowned_,
+                  [&](const auto& it) { return assigned.contains(it.first); });
+    return assigned;
+  }
+
  private:
   std::optional<Choice> FindBest(const PoolId& pool,
                                  const EntryCapacity& demand) const {
@@ -201,6 +219,17 @@
   return Assignment(roles, owned, members).AssignAll().owners;
 }
 
+std::set<PoolId> ChooseRolesToTakeBack(
+    const Roles& roles, const std::set<PoolId>& stale, const EntryId& entry,
+    const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members) {
+  Assignment assignment(roles, owned, members);
+  std::set<PoolId> kept = assignment.AssignFitting(stale, entry);
+  for (const auto& [pool, owner] : assignment.AssignAll().owners)
+    if (owner == entry && stale.contains(pool)) kept.insert(pool);
+  return kept;
+}
+
 bool CanCarryRoles(const Roles& roles,
                    const std::map<EntryId, MemberRecord>& members) {
   return !members.empty() &&
--- a/libs/jobserver/src/cluster_view.h
+++ b/libs/jobserver/src/cluster_view.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "pomelomill/base/ids.h"
@@ -64,6 +65,16 @@
     const Roles& roles, const std::map<PoolId, EntryId>& owned,
     const std::map<EntryId, MemberRecord>& members);
 
+/// Returns the roles in `stale` that the restarted entry should take back from
+/// its previous process: those that it has the capacity for without more than
+/// half of the CPU demand of all roles, and those for which ChooseOwners()
+/// chooses it nevertheless. `owned` holds the owners of roles that are neither
+/// stale nor without an owner, and `members` the entry itself.
+std::set<PoolId> ChooseRolesToTakeBack(
+    const Roles& roles, const std::set<PoolId>& stale, const EntryId& entry,
+    const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members);
+
 /// Whether the entries have the capacity for all roles, none of them with more
 /// than half of the CPU demand.
 bool CanCarryRoles(const Roles& roles,
--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -85,6 +85,11 @@
     return owner.entry == settings_.entry && owner.incarnation == incarnation_;
   }
 
+  MemberRecord SelfRecord() const {
+    return {settings_.peer_address, settings_.zone, incarnation_,
+            settings_.capacity};
+  }
+
   void Event(std::string_view event, std::vector<EventField> fields) {
     if (hooks_.event) hooks_.event("ownership", event, std::move(fields));
   }
@@ -128,10 +133,8 @@
     is_registering_ = true;
     const LeaseId lease = lease_.lease();
     Transaction transaction;
-    transaction.writes = {{MemberKey(settings_.entry),
-                           EncodeMember({settings_.peer_address, settings_.zone,
-                                         incarnation_, settings_.capacity}),
-                           lease}};
+    transaction.writes = {
+        {MemberKey(settings_.entry), EncodeMember(SelfRecord()), lease}};
     client_.commit(
         std::move(transaction), kCommitTimeout,
         [weak = weak_from_this(), lease](const Result<CommitResult>& result) {
@@ -149,16 +152,19 @@
         view_.owners().empty() ? FirstAcquisitionTime(now) : now;
     std::vector<PoolId> unowned;
     std::map<PoolId, EntryId> owned;
+    std::map<PoolId, Version> stale;
     for (const auto& [role, kind] : roles_) {
       const auto* const owner = view_.FindOwner(role);
       if (owner != nullptr) {
-        owned[role] = owner->record.entry;
         acquirable_at_.erase(role);
         // Owned by a previous process of this entry whose lease has not
         // expired.
-        const bool is_stale = owner->record.entry == settings_.entry &&
-                              !IsThisProcess(owner->record);
-        if (is_stale) TryAcquire(role, owner->version);
+        if (owner->record.entry == settings_.entry &&
+            !IsThisProcess(owner->record) && !owned_.contains(role)) {
+          stale[role] = owner->version;
+          continue;
+        }
+        owned[role] = owner->record.entry;
         // A commit with an unknown outcome turned out to have taken effect.
         if (IsThisProcess(owner->record) && !acquiring_.contains(role))
           RecordAcquisition(role, owner->version);
@@ -175,6 +181,7 @@
         if (view_.owners().empty()) at = earliest;
       }
     }
+    if (!stale.empty()) TakeBack(stale, owned);
     if (unowned.empty()) return;
     const auto chosen = ChooseOwners(roles_, owned, view_.members());
     for (const PoolId& role : unowned) {
@@ -190,6 +197,47 @@
     }
   }
 
+  /// Acquires those of the previous process's roles that this entry can carry,
+  /// adds them to `owned`, and makes the others available to other entries.
+  void TakeBack(const std::map<PoolId, Version>& stale,
+                std::map<PoolId, EntryId>& owned) {
+    std::set<PoolId> roles;
+    for (const auto& [role, version] : stale) roles.insert(role);
+    auto members = view_.members();
+    members[settings_.entry] = SelfRecord();
+    const auto kept =
+        ChooseRolesToTakeBack(roles_, roles, settings_.entry, owned, members);
+    for (const auto& [role, version] : stale) {
+      if (kept.contains(role)) {
+        owned[role] = settings_.entry;
+        TryAcquire(role, version);
+      } else if (!acquiring_.contains(role)) {
+        RemoveOwnerKey(role, version);
+      }
+    }
+  }
+
+  /// Removes the owner key if it still has the given version.
+  void RemoveOwnerKey(const PoolId& pool, Version version) {
+    if (!removing_.insert(pool).second) return;
+    Event("remove-stale-owner",
+          {{"pool", pool.value()},
+           {"reason", "more than this entry's share"},
+           {"members", std::to_string(view_.members().size())}});
+    Transaction transaction;
+    transaction.expectations = {{OwnerKey(pool), version}};
+    transaction.removals = {OwnerKey(pool)};
+    client_.commit(
+        std::move(transaction), kCommitTimeout,
+        [weak = weak_from_this(), pool](const Result<CommitResult>&) {
+          const auto self = weak.lock();
+          if (self == nullptr || self->is_halted_) return;
+          self->removing_.erase(pool);
+          // Repeated until the watch delivers the removal.
+          self->ScheduleDecision(kRetryPause);
+        });
+  }
+
   void TrackMembers(Instant now) {
     const bool is_vacant = view_.owners().empty();
     if (is_vacant && !is_vacant_) {
@@ -299,6 +347,8 @@
   std::set<PoolId> observed_;
   /// Roles whose acquisition is in flight.
   std::set<PoolId> acquiring_;
+  /// Roles the removal of whose owner key is in flight.
+  std::set<PoolId> removing_;
   /// Time from which the chosen entry may acquire each role without an owner.
   std::map<PoolId, Instant> acquirable_at_;
   /// Registrations of the view as of the latest update.
--- a/libs/jobserver/test/ownership_test.cc
+++ b/libs/jobserver/test/ownership_test.cc
@@ -124,6 +124,16 @@
   }
 }
 
+/// Replaces the process of entry `i`. The former one stays in `ended`, without
+/// a connection, since calls in flight refer to it.
+void RestartEntry(Entries& entries, std::size_t i, Entries& ended,
+                  FakeKvStore& store, VirtualTimerService& timers) {
+  entries[i]->faults.is_cut = true;
+  ended.push_back(std::move(entries[i]));
+  entries[i] = std::make_unique<Entry>(store, timers, "e" + std::to_string(i),
+                                       kStrong, "2");
+}
+
 /// Number of roles that some entry owns; a role that several entries own counts
 /// for each.
 std::size_t CountOwnedRoles(const Entries& entries) {
@@ -231,6 +241,46 @@
   CHECK(entries[0]->ownership.owned().size() == 6);
 }
 
+// Guards against an entry that acquires all roles of its previous process, more
+// than it can carry, while others own none.
+TEST_CASE("a restarted entry takes back only the roles that it can carry") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries ended;
+  Entries entries;
+  AddEntries(entries, store, timers, 1);
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  AddEntries(entries, store, timers, 5);
+  timers.Advance(milliseconds(300));
+  REQUIRE(entries[0]->ownership.owned().size() == 6);
+  RestartEntry(entries, 0, ended, store, timers);
+  // Shorter than the lease of the previous process.
+  timers.Advance(milliseconds(700));
+  CHECK(CountOwnedRoles(entries) == 6);
+  CHECK(entries[0]->ownership.owned().size() <= 3);
+  CHECK(entries[0]->ownership.owned().size() >= 1);
+}
+
+// Guards against needless changes of owner after a restart.
+TEST_CASE("a restarted entry takes back its share at once") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries ended;
+  Entries entries;
+  AddEntries(entries, store, timers, 6);
+  timers.Advance(seconds(4));
+  for (std::size_t i = 0; i < 6; ++i) {
+    CAPTURE(i);
+    REQUIRE(entries[i]->ownership.owned().size() == 1);
+    const PoolId role = entries[i]->ownership.owned().begin()->first;
+    RestartEntry(entries, i, ended, store, timers);
+    timers.Advance(milliseconds(100));
+    CHECK(entries[i]->ownership.owned().size() == 1);
+    CHECK(entries[i]->ownership.owned().contains(role));
+  }
+}
+
 // Guards against roles without an owner, and against an entry with two roles
 // while equal entries have none.
 TEST_CASE("equal entries get one role each") {
