Hand roles over from an entry that has more than it can carry

Now an entry whose roles exceed its capacity, or two thirds of the work, for 1 s releases one role, at most one a second and only while all roles have an owner, if another registered entry can carry it with at most half of the work. ChooseHandOver() is pure. The entry that it names is the one that all entries choose for the role once it has no owner; the former owner waits 2 s before it tries again. A pool goes the way of PoolOwner::Release(); if its removal of the owner key fails, the key is removed again until the watch shows it. The gap between two thirds and a half is the hysteresis: the next owner never has reason to hand the role back. The line `ownership` `hand-over` has the reason.

Weighed: a hand-over to any stronger entry. A change of owner makes the next one load the jobs and await reports, so balanced deployments move nothing.

--- a/libs/jobserver/src/cluster_view.cc
+++ b/libs/jobserver/src/cluster_view.cc
@@ -38,6 +38,13 @@
   kExceedsCapacity
 };
 
+constexpr EntryCapacity kNoDemand{
+    .cpu_cores = 0, .memory_mb = 0, .link_mbps = 0};
+
+/// An entry hands roles over while it has more than this share of the CPU
+/// demand of all roles.
+constexpr double kMaxKeptShare = 2.0 / 3;
+
 /// Capacity of one entry and the load of its roles.
 class EntryLoad {
  public:
@@ -62,6 +69,8 @@
     return std::llround(utilization * kMillion);
   }
 
+  double cpu_cores() const { return used_.cpu_cores; }
+
   Fit FitWith(const EntryCapacity& demand, double total_cpu_cores) const {
     if (UtilizationPpmWith(demand) > kMillion) return Fit::kExceedsCapacity;
     return (used_.cpu_cores + demand.cpu_cores) * 2 > total_cpu_cores
@@ -74,7 +83,7 @@
 
   ZoneId zone_;
   EntryCapacity capacity_;
-  EntryCapacity used_{.cpu_cores = 0, .memory_mb = 0, .link_mbps = 0};
+  EntryCapacity used_ = kNoDemand;
 };
 
 struct Choice {
@@ -123,6 +132,19 @@
     return choices;
   }
 
+  /// Returns why the entry has more roles than it should keep; null when it
+  /// has not.
+  const char* FindExcess(const EntryId& entry) const {
+    const auto it = loads_.find(entry);
+    if (it == loads_.end()) return nullptr;
+    if (it->second.FitWith(kNoDemand, total_cpu_cores_) ==
+        Fit::kExceedsCapacity)
+      return "exceeds its capacity";
+    return it->second.cpu_cores() > kMaxKeptShare * total_cpu_cores_
+               ? "exceeds two thirds of the work"
+               : nullptr;
+  }
+
   /// Assigns to the entry those of the roles that fit. Returns them.
   std::set<PoolId> AssignFitting(const std::set<PoolId>& roles,
                                  const EntryId& entry) {
@@ -230,6 +252,42 @@
   return kept;
 }
 
+std::optional<HandOver> ChooseHandOver(
+    const Roles& roles, const EntryId& entry,
+    const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members) {
+  const char* const reason =
+      Assignment(roles, owned, members).FindExcess(entry);
+  if (reason == nullptr) return std::nullopt;
+  std::map<RoleKind, PoolId> candidates;
+  for (const auto& [role, owner] : owned) {
+    const auto it = roles.find(role);
+    if (owner == entry && it != roles.end())
+      candidates.try_emplace(it->second, role);
+  }
+  // The smallest role that ends the excess, so that a pool stays where the
+  // change of a lighter role is enough; else the largest.
+  std::optional<HandOver> largest;
+  for (const RoleKind kind :
+       {RoleKind::kSparePool, RoleKind::kFleet, RoleKind::kPool}) {
+    const auto candidate = candidates.find(kind);
+    if (candidate == candidates.end()) continue;
+    const PoolId& role = candidate->second;
+    auto others = owned;
+    others.erase(role);
+    Assignment assignment(roles, others, members);
+    const bool ends_excess = assignment.FindExcess(entry) == nullptr;
+    const Choices choices = assignment.AssignAll();
+    const auto to = choices.owners.find(role);
+    if (to == choices.owners.end() || to->second == entry ||
+        choices.worst_fit != Fit::kFits)
+      continue;
+    largest = HandOver{.role = role, .to = to->second, .reason = reason};
+    if (ends_excess) break;
+  }
+  return largest;
+}
+
 bool CanCarryRoles(const Roles& roles,
                    const std::map<EntryId, MemberRecord>& members) {
   return !members.empty() &&
--- a/libs/jobserver/src/cluster_view.h
+++ b/libs/jobserver/src/cluster_view.h
@@ -75,6 +75,25 @@
     const std::map<PoolId, EntryId>& owned,
     const std::map<EntryId, MemberRecord>& members);
 
+struct HandOver {
+  PoolId role;
+  /// The entry that ChooseOwners() chooses for the role once it has no owner.
+  EntryId to;
+  const char* reason = "";
+};
+
+/// Returns the role that the entry should hand over next; nullopt when it
+/// should keep what it owns. `owned` holds the owners of all roles.
+///
+/// An entry hands roles over while they exceed its capacity or two thirds of
+/// the CPU demand of all roles, and only to an entry that has the capacity
+/// without more than half of that demand. The gap between the two shares is the
+/// hysteresis: the next owner never hands the role back.
+std::optional<HandOver> ChooseHandOver(
+    const Roles& roles, const EntryId& entry,
+    const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members);
+
 /// Whether the entries have the capacity for all roles, none of them with more
 /// than half of the CPU demand.
 bool CanCarryRoles(const Roles& roles,
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -125,6 +125,10 @@
                   StartPoolOwner(pool, token, lease);
                 },
             .on_lost = [this](const PoolId& pool) { ScheduleDrop(pool); },
+            .on_hand_over =
+                [this](const PoolId& pool, const std::function<void()>& done) {
+                  HandOver(pool, done);
+                },
             .event = hooks_.event};
   }
 
@@ -218,6 +222,19 @@
     worker_directory_.Start();
   }
 
+  void HandOver(const PoolId& pool, const std::function<void()>& done) {
+    // The fleet role needs no final write.
+    if (pool == PoolId(kFleetRole)) fleet_manager_.reset();
+    const auto it = pools_.find(pool);
+    if (it == pools_.end()) return done();
+    it->second->Release([weak = weak_from_this(), pool, done] {
+      const auto self = weak.lock();
+      if (self == nullptr || self->is_halted_) return;
+      self->ScheduleDrop(pool);
+      done();
+    });
+  }
+
   /// Passes on the load of a pool that this or another entry owns. Fails with
   /// StoreError::kUnavailable when the pool has no known owner, else with the
   /// error of the query or DispatchError::kMalformedRecord.
--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -26,6 +26,14 @@
 /// The other entries try to acquire a role this long after the entry that was
 /// chosen for it.
 constexpr Duration kFallbackDelay = std::chrono::milliseconds(600);
+/// A role is handed over when there has been reason to for this long, which
+/// lets entries that start together register, and this long after the role
+/// before: the next owner of that one loads the pool's jobs first.
+constexpr Duration kHandOverInterval = std::chrono::seconds(1);
+/// An entry that has handed a role over tries to acquire it again only after
+/// this long without an owner. Longer than kFallbackDelay, so that any other
+/// entry gets it first.
+constexpr Duration kRetakeDelay = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -69,7 +77,7 @@
     transaction.removals = {MemberKey(settings_.entry)};
     // The fleet role needs no final write before its release, unlike pools.
     if (const auto fleet = owned_.find(PoolId(kFleetRole));
-        fleet != owned_.end()) {
+        fleet != owned_.end() && !handing_over_.contains(fleet->first)) {
       transaction.expectations = {
           {OwnerKey(fleet->first), Version(fleet->second.value())}};
       transaction.removals.push_back(OwnerKey(fleet->first));
@@ -119,6 +127,7 @@
     for (const PoolId& it : lost) {
       owned_.erase(it);
       observed_.erase(it);
+      handing_over_.erase(it);
       Event("lost", {{"pool", it.value()}});
       hooks_.on_lost(it);
     }
@@ -182,13 +191,19 @@
       }
     }
     if (!stale.empty()) TakeBack(stale, owned);
-    if (unowned.empty()) return;
+    RemoveHandedOver();
+    if (unowned.empty()) {
+      if (stale.empty()) ConsiderHandOver(owned, now);
+      return;
+    }
     const auto chosen = ChooseOwners(roles_, owned, view_.members());
     for (const PoolId& role : unowned) {
       Instant due = acquirable_at_[role];
       const auto choice = chosen.find(role);
       if (choice == chosen.end() || choice->second != settings_.entry)
         due += kFallbackDelay;
+      if (const auto it = retake_at_.find(role); it != retake_at_.end())
+        due = std::max(due, it->second);
       if (now >= due) {
         TryAcquire(role, Version());
       } else {
@@ -211,19 +226,58 @@
       if (kept.contains(role)) {
         owned[role] = settings_.entry;
         TryAcquire(role, version);
-      } else if (!acquiring_.contains(role)) {
+      } else if (!acquiring_.contains(role) && !removing_.contains(role)) {
+        Event("remove-stale-owner",
+              {{"pool", role.value()},
+               {"reason", "more than this entry's share"},
+               {"members", std::to_string(members.size())}});
         RemoveOwnerKey(role, version);
       }
     }
   }
 
+  /// `owned` holds the owners of all roles.
+  void ConsiderHandOver(const std::map<PoolId, EntryId>& owned, Instant now) {
+    if (!handing_over_.empty()) return;
+    const auto next =
+        ChooseHandOver(roles_, settings_.entry, owned, view_.members());
+    if (!next) return hand_over_at_.reset();
+    if (!hand_over_at_) hand_over_at_ = now + kHandOverInterval;
+    if (now < *hand_over_at_) return ScheduleDecision(*hand_over_at_ - now);
+    hand_over_at_ = now + kHandOverInterval;
+    const PoolId role = next->role;
+    handing_over_[role] = false;
+    retake_at_[role] = now + kRetakeDelay;
+    Event("hand-over", {{"pool", role.value()},
+                        {"to", next->to.value()},
+                        {"reason", next->reason},
+                        {"roles", std::to_string(owned_.size())},
+                        {"members", std::to_string(view_.members().size())}});
+    auto done = [weak = weak_from_this(), role] {
+      const auto self = weak.lock();
+      if (self == nullptr || self->is_halted_) return;
+      const auto it = self->handing_over_.find(role);
+      if (it == self->handing_over_.end()) return;
+      it->second = true;
+      self->RemoveHandedOver();
+    };
+    if (!hooks_.on_hand_over) return done();
+    hooks_.on_hand_over(role, std::move(done));
+  }
+
+  /// PoolOwner::Release() has removed the owner key of a pool, unless the
+  /// transaction failed: a key without a process that acts on it must not stay.
+  void RemoveHandedOver() {
+    for (const auto& [role, is_released] : handing_over_) {
+      const auto it = owned_.find(role);
+      if (is_released && it != owned_.end())
+        RemoveOwnerKey(role, Version(it->second.value()));
+    }
+  }
+
   /// Removes the owner key if it still has the given version.
   void RemoveOwnerKey(const PoolId& pool, Version version) {
     if (!removing_.insert(pool).second) return;
-    Event("remove-stale-owner",
-          {{"pool", pool.value()},
-           {"reason", "more than this entry's share"},
-           {"members", std::to_string(view_.members().size())}});
     Transaction transaction;
     transaction.expectations = {{OwnerKey(pool), version}};
     transaction.removals = {OwnerKey(pool)};
@@ -349,6 +403,13 @@
   std::set<PoolId> acquiring_;
   /// Roles the removal of whose owner key is in flight.
   std::set<PoolId> removing_;
+  /// Roles that are being handed over, and whether the receiver of the hook has
+  /// stopped acting as the owner.
+  std::map<PoolId, bool> handing_over_;
+  /// Earliest time of the next hand-over while there is reason for one.
+  std::optional<Instant> hand_over_at_;
+  /// Earliest time to acquire each role again that was handed over.
+  std::map<PoolId, Instant> retake_at_;
   /// Time from which the chosen entry may acquire each role without an owner.
   std::map<PoolId, Instant> acquirable_at_;
   /// Registrations of the view as of the latest update.
--- a/libs/jobserver/src/ownership.h
+++ b/libs/jobserver/src/ownership.h
@@ -21,13 +21,18 @@
   std::function<void(const PoolId&, FencingToken, const LeaseId&)> on_acquired;
   /// The entry no longer owns the role, which has another owner or none.
   std::function<void(const PoolId&)> on_lost;
+  /// The entry hands the role over. The receiver stops acting as the owner and
+  /// then calls the function, upon which the owner key is removed. Optional.
+  std::function<void(const PoolId&, std::function<void()>)> on_hand_over;
   EventHook event;
 };
 
 /// Registers this entry as a member of the cluster and acquires roles (pools
 /// and the fleet) that have no owner. All keys are attached to the entry's
 /// lease. A role is first left to the entry that ChooseOwners() selects; the
-/// other entries try to acquire it after a delay if it still has no owner.
+/// other entries try to acquire it after a delay if it still has no owner. An
+/// entry with more roles than it should keep hands them over one at a time, see
+/// ChooseHandOver().
 class Ownership {
  public:
   Ownership(const TransactionClient& client, TimerService& timers,
--- a/libs/jobserver/test/ownership_test.cc
+++ b/libs/jobserver/test/ownership_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cluster_view.h"
+#include "pomelomill/base/random.h"
 #include "pomelomill/base/virtual_timer_service.h"
 #include "pomelomill/jobtesting.h"
 #include "pomelomill/store/lease_keeper.h"
@@ -142,6 +143,12 @@
   return n;
 }
 
+std::size_t CountAcquisitions(const Entries& entries) {
+  std::size_t n = 0;
+  for (const auto& it : entries) n += it->acquisitions;
+  return n;
+}
+
 }  // namespace
 
 // Guards against weak entries that acquire all roles because they started
@@ -281,6 +288,90 @@
   }
 }
 
+// Guards against an entry that was alone for a while and stays overloaded.
+TEST_CASE("an entry with most of the work hands roles over one at a time") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  AddEntries(entries, store, timers, 1);
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  AddEntries(entries, store, timers, 5);
+  std::size_t fewest = 6;
+  for (int i = 0; i < 1000; ++i) {
+    timers.Advance(milliseconds(10));
+    const std::size_t n = entries[0]->ownership.owned().size();
+    // Never takes a role back.
+    CHECK(n <= fewest);
+    fewest = std::min(fewest, n);
+    CHECK(CountOwnedRoles(entries) >= 5);
+  }
+  CHECK(CountOwnedRoles(entries) == 6);
+  CHECK(entries[0]->ownership.owned().size() <= 4);
+  for (const auto& it : entries) {
+    if (it != entries[0]) CHECK(it->ownership.owned().size() <= 1);
+  }
+  // Each role that was handed over had one further owner.
+  const std::size_t moved = 6 - entries[0]->ownership.owned().size();
+  CHECK(CountAcquisitions(entries) == 6 + moved);
+}
+
+// Guards against hand-overs without need, which stop starts of tasks for a
+// moment.
+TEST_CASE("no role is handed over in a balanced deployment") {
+  for (const std::size_t n : {1U, 2U, 3U, 6U, 12U}) {
+    CAPTURE(n);
+    VirtualTimerService timers;
+    FakeKvStore store(timers);
+    Entries entries;
+    AddEntries(entries, store, timers, n);
+    timers.Advance(seconds(4));
+    CHECK(CountOwnedRoles(entries) == 6);
+    timers.Advance(seconds(60));
+    CHECK(CountAcquisitions(entries) == 6);
+  }
+}
+
+// Guards against roles that go back and forth between entries, and against
+// hand-overs of what ChooseOwners() has just chosen.
+TEST_CASE("hand-overs end and move no role twice") {
+  std::size_t moved = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    const Roles roles = DeploymentRoles();
+    Members members;
+    AddMembers(members, "strong", random.Below(4), kStrong);
+    AddMembers(members, "weak", 1 + random.Below(8), kWeak);
+    Owners owned = ChooseOwners(roles, {}, members);
+    for (const auto& [entry, member] : members)
+      CHECK_FALSE(ChooseHandOver(roles, entry, owned, members));
+    std::vector<EntryId> entries;
+    for (const auto& [entry, member] : members) entries.push_back(entry);
+    for (auto& [role, owner] : owned)
+      owner = entries[random.Chance(0.7) ? 0 : random.Below(entries.size())];
+    std::set<PoolId> handed_over;
+    for (std::size_t i = 0; i < entries.size();) {
+      const auto next = ChooseHandOver(roles, entries[i], owned, members);
+      if (!next) {
+        ++i;
+        continue;
+      }
+      CAPTURE(next->role.value());
+      REQUIRE(owned.at(next->role) == entries[i]);
+      REQUIRE(handed_over.insert(next->role).second);
+      owned.erase(next->role);
+      // All entries choose the one that was named.
+      CHECK(ChooseOwners(roles, owned, members).at(next->role) == next->to);
+      owned[next->role] = next->to;
+    }
+    for (const EntryId& it : entries)
+      CHECK_FALSE(ChooseHandOver(roles, it, owned, members));
+    moved += handed_over.size();
+  }
+  CHECK(moved > 300);
+}
+
 // Guards against roles without an owner, and against an entry with two roles
 // while equal entries have none.
 TEST_CASE("equal entries get one role each") {
--- a/libs/jobserver/test/takeover_test.cc
+++ b/libs/jobserver/test/takeover_test.cc
@@ -179,6 +179,42 @@
   CheckRules(world, world.workers());
 }
 
+TEST_CASE("an entry that was alone hands a pool over and no task runs twice") {
+  JobWorld world({.run_time = seconds(2)});
+  world.Advance(seconds(2));
+  for (std::size_t i = 1; i < 3; ++i) world.KillEntry(i);
+  world.Advance(seconds(5));
+  REQUIRE(world.Owner(0) == 0);
+  REQUIRE(world.Owner(1) == 0);
+  REQUIRE(world.FleetOwner() == 0);
+  std::size_t jobs = 0;
+  const auto submit = [&] {
+    for (std::size_t pool = 0; pool < 2; ++pool)
+      world.Submit(0, "job" + std::to_string(jobs++), pool, ChainJob(2, 3));
+  };
+  for (std::size_t i = 1; i < 3; ++i) world.StartEntry(i);
+  for (int i = 0; i < 20; ++i) {
+    submit();
+    world.Advance(milliseconds(300));
+  }
+  CHECK(world.Owner(0) != world.Owner(1));
+  const int first = world.Owner(0);
+  const int second = world.Owner(1);
+  const int fleet = world.FleetOwner();
+  world.Advance(seconds(40));
+  // Balanced: nothing moves any more.
+  CHECK(world.Owner(0) == first);
+  CHECK(world.Owner(1) == second);
+  CHECK(world.FleetOwner() == fleet);
+  for (std::size_t i = 0; i < jobs; ++i) {
+    CAPTURE(i);
+    CHECK(world.Phase("job" + std::to_string(i), i % 2) == "complete");
+  }
+  // No task was started a second time because of the new owner.
+  CHECK(world.workers().runs().size() == jobs * 6);
+  CheckRules(world, world.workers());
+}
+
 TEST_CASE(
     "after all entries are killed at once their successors adopt the tasks") {
   JobWorld world({.run_time = seconds(4)});
