Wait for owners while no entry is registered

Now the times of registrations are forgotten while no entry is registered; the wait begins with the first registration after that.

Test that failed before: "roles wait while no entry is registered" (one entry owned 6 roles for a while). The earlier test of lapsed leases did not show it: there the loss of the roles and the new registrations come in one answer.

--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -299,6 +299,10 @@
       is_wait_logged_ = false;
     }
     is_vacant_ = is_vacant;
+    if (view_.registrations().empty()) {
+      first_join_at_.reset();
+      last_join_at_.reset();
+    }
     if (view_.registrations() == registrations_) return;
     for (const auto& [entry, version] : view_.registrations()) {
       const auto known = registrations_.find(entry);
@@ -312,6 +316,7 @@
   /// Earliest time to acquire a role while no role has an owner. In the past
   /// when the entries registered long ago: a takeover has no wait.
   Instant FirstAcquisitionTime(Instant now) {
+    // No entry is registered; the wait begins with the first registration.
     if (!last_join_at_) return now + kStartupWait;
     const Instant latest =
         first_join_at_.value_or(*last_join_at_) + kMaxStartupWait;
--- a/libs/jobserver/test/ownership_test.cc
+++ b/libs/jobserver/test/ownership_test.cc
@@ -230,6 +230,29 @@
   for (const auto& it : entries) CHECK(it->ownership.owned().size() == 1);
 }
 
+// Guards against an entry that has a lease again before any entry is registered
+// and takes the view without members for a takeover.
+TEST_CASE("roles wait while no entry is registered") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  for (int i = 0; i < 6; ++i) {
+    AddEntries(entries, store, timers, 1);
+    timers.Advance(milliseconds(130));
+  }
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  store.RevokeLeases();
+  std::size_t most = 0;
+  for (int i = 0; i < 400; ++i) {
+    timers.Advance(milliseconds(10));
+    for (const auto& it : entries)
+      most = std::max(most, it->ownership.owned().size());
+  }
+  CHECK(most == 1);
+  CHECK(CountOwnedRoles(entries) == 6);
+}
+
 // Guards against a startup wait without bound when the other entries do not
 // come back.
 TEST_CASE("an entry that stays alone acquires all roles in the end") {
