--- a/libs/jobserver/src/cluster_view.h
+++ b/libs/jobserver/src/cluster_view.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "pomelomill/base/ids.h"
@@ -24,6 +25,11 @@
   bool Apply(const StoredKey& change);
 
   const std::map<EntryId, MemberRecord>& members() const { return members_; }
+  /// Version of each entry's registration, which changes when the entry
+  /// registers again.
+  const std::map<EntryId, Version>& registrations() const {
+    return registrations_;
+  }
   const std::map<PoolId, Owner>& owners() const { return owners_; }
   /// Null when the pool has no owner.
   const Owner* FindOwner(const PoolId& pool) const;
@@ -33,6 +39,7 @@
 
  private:
   std::map<EntryId, MemberRecord> members_;
+  std::map<EntryId, Version> registrations_;
   std::map<PoolId, Owner> owners_;
 };
 
@@ -58,4 +65,38 @@
     const Roles& roles, const std::map<PoolId, EntryId>& owned,
     const std::map<EntryId, MemberRecord>& members);
 
+/// Returns the roles in `stale` that the restarted entry should take back from
+/// its previous process: those that it has the capacity for without more than
+/// half of the CPU demand of all roles, and those for which ChooseOwners()
+/// chooses it nevertheless. `owned` holds the owners of roles that are neither
+/// stale nor without an owner, and `members` the entry itself.
+std::set<PoolId> ChooseRolesToTakeBack(
+    const Roles& roles, const std::set<PoolId>& stale, const EntryId& entry,
+    const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members);
+
+struct HandOver {
+  PoolId role;
+  /// The entry that ChooseOwners() chooses for the role once it has no owner.
+  EntryId to;
+  const char* reason = "";
+};
+
+/// Returns the role that the entry should hand over next; nullopt when it
+/// should keep what it owns. `owned` holds the owners of all roles.
+///
+/// An entry hands roles over while they exceed its capacity or two thirds of
+/// the CPU demand of all roles, and only to an entry that has the capacity
+/// without more than half of that demand. The gap between the two shares is the
+/// hysteresis: the next owner never hands the role back.
+std::optional<HandOver> ChooseHandOver(
+    const Roles& roles, const EntryId& entry,
+    const std::map<PoolId, EntryId>& owned,
+    const std::map<EntryId, MemberRecord>& members);
+
+/// Whether the entries have the capacity for all roles, none of them with more
+/// than half of the CPU demand.
+bool CanCarryRoles(const Roles& roles,
+                   const std::map<EntryId, MemberRecord>& members);
+
 }  // namespace pomelomill
--- a/libs/jobserver/src/ownership.cc
+++ b/libs/jobserver/src/ownership.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "pomelomill/store/store_error.h"
@@ -17,11 +18,22 @@
 /// passed since the latest registration of an entry; otherwise the first entry
 /// of a new deployment would acquire all roles.
 constexpr Duration kStartupWait = std::chrono::milliseconds(500);
-/// Upper bound of that wait, counted from the first registration.
+/// Upper bound of that wait, counted from the first registration since the last
+/// role lost its owner. Also waited for while the registered entries cannot
+/// carry all roles: entries that were cut off from the store do not register
+/// all at once.
 constexpr Duration kMaxStartupWait = std::chrono::milliseconds(2000);
 /// The other entries try to acquire a role this long after the entry that was
 /// chosen for it.
 constexpr Duration kFallbackDelay = std::chrono::milliseconds(600);
+/// A role is handed over when there has been reason to for this long, which
+/// lets entries that start together register, and this long after the role
+/// before: the next owner of that one loads the pool's jobs first.
+constexpr Duration kHandOverInterval = std::chrono::seconds(1);
+/// An entry that has handed a role over tries to acquire it again only after
+/// this long without an owner. Longer than kFallbackDelay, so that any other
+/// entry gets it first.
+constexpr Duration kRetakeDelay = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -42,7 +54,7 @@
   void Halt() {
     is_halted_ = true;
     hooks_ = {};
-    timers_.Cancel(update_timer_);
+    timers_.Cancel(decision_timer_);
   }
 
   void SetRoles(Roles roles) {
@@ -53,9 +65,10 @@
   void Update() {
     if (is_halted_) return;
     DropLost();
-    if (is_leaving_ || !lease_.is_held()) return;
-    Register();
-    Acquire();
+    // The changes of one answer of the store are delivered one by one. In
+    // between the view shows roles without owners and few members, of which no
+    // conclusion may be drawn.
+    ScheduleDecision(Duration(0));
   }
 
   void Leave() {
@@ -64,7 +77,7 @@
     transaction.removals = {MemberKey(settings_.entry)};
     // The fleet role needs no final write before its release, unlike pools.
     if (const auto fleet = owned_.find(PoolId(kFleetRole));
-        fleet != owned_.end()) {
+        fleet != owned_.end() && !handing_over_.contains(fleet->first)) {
       transaction.expectations = {
           {OwnerKey(fleet->first), Version(fleet->second.value())}};
       transaction.removals.push_back(OwnerKey(fleet->first));
@@ -80,6 +93,23 @@
     return owner.entry == settings_.entry && owner.incarnation == incarnation_;
   }
 
+  MemberRecord SelfRecord() const {
+    return {settings_.peer_address, settings_.zone, incarnation_,
+            settings_.capacity};
+  }
+
+  void Event(std::string_view event, std::vector<EventField> fields) {
+    if (hooks_.event) hooks_.event("ownership", event, std::move(fields));
+  }
+
+  void Decide() {
+    // Also without a lease: all leases may lapse together.
+    TrackMembers(timers_.Now());
+    if (is_leaving_ || !lease_.is_held()) return;
+    Register();
+    Acquire();
+  }
+
   void DropLost() {
     std::vector<PoolId> lost;
     for (const auto& [pool, token] : owned_) {
@@ -97,8 +127,8 @@
     for (const PoolId& it : lost) {
       owned_.erase(it);
       observed_.erase(it);
-      if (hooks_.event)
-        hooks_.event("ownership", "lost", {{"pool", it.value()}});
+      handing_over_.erase(it);
+      Event("lost", {{"pool", it.value()}});
       hooks_.on_lost(it);
     }
   }
@@ -112,10 +142,8 @@
     is_registering_ = true;
     const LeaseId lease = lease_.lease();
     Transaction transaction;
-    transaction.writes = {{MemberKey(settings_.entry),
-                           EncodeMember({settings_.peer_address, settings_.zone,
-                                         incarnation_, settings_.capacity}),
-                           lease}};
+    transaction.writes = {
+        {MemberKey(settings_.entry), EncodeMember(SelfRecord()), lease}};
     client_.commit(
         std::move(transaction), kCommitTimeout,
         [weak = weak_from_this(), lease](const Result<CommitResult>& result) {
@@ -123,27 +151,29 @@
           if (self == nullptr || self->is_halted_) return;
           self->is_registering_ = false;
           if (result && result->is_committed) self->registered_lease_ = lease;
-          self->ScheduleUpdate(kRetryPause);
+          self->ScheduleDecision(kRetryPause);
         });
   }
 
   void Acquire() {
     const Instant now = timers_.Now();
-    TrackMembers(now);
     const Instant earliest =
-        view_.owners().empty() ? FirstAcquisitionTime() : now;
+        view_.owners().empty() ? FirstAcquisitionTime(now) : now;
     std::vector<PoolId> unowned;
     std::map<PoolId, EntryId> owned;
+    std::map<PoolId, Version> stale;
     for (const auto& [role, kind] : roles_) {
       const auto* const owner = view_.FindOwner(role);
       if (owner != nullptr) {
-        owned[role] = owner->record.entry;
         acquirable_at_.erase(role);
         // Owned by a previous process of this entry whose lease has not
         // expired.
-        const bool is_stale = owner->record.entry == settings_.entry &&
-                              !IsThisProcess(owner->record);
-        if (is_stale) TryAcquire(role, owner->version);
+        if (owner->record.entry == settings_.entry &&
+            !IsThisProcess(owner->record) && !owned_.contains(role)) {
+          stale[role] = owner->version;
+          continue;
+        }
+        owned[role] = owner->record.entry;
         // A commit with an unknown outcome turned out to have taken effect.
         if (IsThisProcess(owner->record) && !acquiring_.contains(role))
           RecordAcquisition(role, owner->version);
@@ -160,40 +190,147 @@
         if (view_.owners().empty()) at = earliest;
       }
     }
-    if (unowned.empty()) return;
+    if (!stale.empty()) TakeBack(stale, owned);
+    RemoveHandedOver();
+    if (unowned.empty()) {
+      if (stale.empty()) ConsiderHandOver(owned, now);
+      return;
+    }
     const auto chosen = ChooseOwners(roles_, owned, view_.members());
     for (const PoolId& role : unowned) {
       Instant due = acquirable_at_[role];
       const auto choice = chosen.find(role);
       if (choice == chosen.end() || choice->second != settings_.entry)
         due += kFallbackDelay;
+      if (const auto it = retake_at_.find(role); it != retake_at_.end())
+        due = std::max(due, it->second);
       if (now >= due) {
         TryAcquire(role, Version());
       } else {
-        ScheduleUpdate(due - now);
+        ScheduleDecision(due - now);
+      }
+    }
+  }
+
+  /// Acquires those of the previous process's roles that this entry can carry,
+  /// adds them to `owned`, and makes the others available to other entries.
+  void TakeBack(const std::map<PoolId, Version>& stale,
+                std::map<PoolId, EntryId>& owned) {
+    std::set<PoolId> roles;
+    for (const auto& [role, version] : stale) roles.insert(role);
+    auto members = view_.members();
+    members[settings_.entry] = SelfRecord();
+    const auto kept =
+        ChooseRolesToTakeBack(roles_, roles, settings_.entry, owned, members);
+    for (const auto& [role, version] : stale) {
+      if (kept.contains(role)) {
+        owned[role] = settings_.entry;
+        TryAcquire(role, version);
+      } else if (!acquiring_.contains(role) && !removing_.contains(role)) {
+        Event("remove-stale-owner",
+              {{"pool", role.value()},
+               {"reason", "more than this entry's share"},
+               {"members", std::to_string(members.size())}});
+        RemoveOwnerKey(role, version);
       }
     }
   }
 
+  /// `owned` holds the owners of all roles.
+  void ConsiderHandOver(const std::map<PoolId, EntryId>& owned, Instant now) {
+    if (!handing_over_.empty()) return;
+    const auto next =
+        ChooseHandOver(roles_, settings_.entry, owned, view_.members());
+    if (!next) return hand_over_at_.reset();
+    if (!hand_over_at_) hand_over_at_ = now + kHandOverInterval;
+    if (now < *hand_over_at_) return ScheduleDecision(*hand_over_at_ - now);
+    hand_over_at_ = now + kHandOverInterval;
+    const PoolId role = next->role;
+    handing_over_[role] = false;
+    retake_at_[role] = now + kRetakeDelay;
+    Event("hand-over", {{"pool", role.value()},
+                        {"to", next->to.value()},
+                        {"reason", next->reason},
+                        {"roles", std::to_string(owned_.size())},
+                        {"members", std::to_string(view_.members().size())}});
+    auto done = [weak = weak_from_this(), role] {
+      const auto self = weak.lock();
+      if (self == nullptr || self->is_halted_) return;
+      const auto it = self->handing_over_.find(role);
+      if (it == self->handing_over_.end()) return;
+      it->second = true;
+      self->RemoveHandedOver();
+    };
+    if (!hooks_.on_hand_over) return done();
+    hooks_.on_hand_over(role, std::move(done));
+  }
+
+  /// PoolOwner::Release() has removed the owner key of a pool, unless the
+  /// transaction failed: a key without a process that acts on it must not stay.
+  void RemoveHandedOver() {
+    for (const auto& [role, is_released] : handing_over_) {
+      const auto it = owned_.find(role);
+      if (is_released && it != owned_.end())
+        RemoveOwnerKey(role, Version(it->second.value()));
+    }
+  }
+
+  /// Removes the owner key if it still has the given version.
+  void RemoveOwnerKey(const PoolId& pool, Version version) {
+    if (!removing_.insert(pool).second) return;
+    Transaction transaction;
+    transaction.expectations = {{OwnerKey(pool), version}};
+    transaction.removals = {OwnerKey(pool)};
+    client_.commit(
+        std::move(transaction), kCommitTimeout,
+        [weak = weak_from_this(), pool](const Result<CommitResult>&) {
+          const auto self = weak.lock();
+          if (self == nullptr || self->is_halted_) return;
+          self->removing_.erase(pool);
+          // Repeated until the watch delivers the removal.
+          self->ScheduleDecision(kRetryPause);
+        });
+  }
+
   void TrackMembers(Instant now) {
-    std::set<EntryId> members;
-    for (const auto& [entry, record] : view_.members()) {
-      members.insert(entry);
-      if (!known_members_.contains(entry)) last_join_at_ = now;
+    const bool is_vacant = view_.owners().empty();
+    if (is_vacant && !is_vacant_) {
+      first_join_at_.reset();
+      is_wait_logged_ = false;
     }
-    // When all entries are gone, kMaxStartupWait counts from the next
-    // registration.
-    if (members.empty()) first_join_at_.reset();
-    if (!members.empty() && !first_join_at_) first_join_at_ = now;
-    known_members_ = std::move(members);
+    is_vacant_ = is_vacant;
+    if (view_.registrations().empty()) {
+      first_join_at_.reset();
+      last_join_at_.reset();
+    }
+    if (view_.registrations() == registrations_) return;
+    for (const auto& [entry, version] : view_.registrations()) {
+      const auto known = registrations_.find(entry);
+      if (known != registrations_.end() && known->second == version) continue;
+      last_join_at_ = now;
+      if (!first_join_at_) first_join_at_ = now;
+    }
+    registrations_ = view_.registrations();
   }
 
-  /// Earliest time to acquire a role while no role has an owner.
-  Instant FirstAcquisitionTime() const {
-    const Instant now = timers_.Now();
-    const Instant first = first_join_at_.value_or(now);
-    return std::min(std::max(first, last_join_at_) + kStartupWait,
-                    first + kMaxStartupWait);
+  /// Earliest time to acquire a role while no role has an owner. In the past
+  /// when the entries registered long ago: a takeover has no wait.
+  Instant FirstAcquisitionTime(Instant now) {
+    // No entry is registered; the wait begins with the first registration.
+    if (!last_join_at_) return now + kStartupWait;
+    const Instant latest =
+        first_join_at_.value_or(*last_join_at_) + kMaxStartupWait;
+    const bool can_carry = CanCarryRoles(roles_, view_.members());
+    const Instant due =
+        can_carry ? std::min(*last_join_at_ + kStartupWait, latest) : latest;
+    if (due > now && !std::exchange(is_wait_logged_, true)) {
+      Event("startup-wait",
+            {{"reason", can_carry ? "recent registration"
+                                  : "the entries cannot carry all roles"},
+             {"members", std::to_string(view_.members().size())},
+             {"wait_ms", std::to_string(ToMillis(due - now))}});
+    }
+    return due;
   }
 
   void TryAcquire(const PoolId& pool, Version expected) {
@@ -227,34 +364,32 @@
           return RecordAcquisition(pool, it.version);
       }
     }
-    ScheduleUpdate(kRetryPause);
+    ScheduleDecision(kRetryPause);
   }
 
   void RecordAcquisition(const PoolId& pool, Version version) {
     const FencingToken token(version.value());
     if (is_leaving_ || owned_.contains(pool)) return;
     owned_[pool] = token;
-    if (hooks_.event) {
-      hooks_.event("ownership", "acquired",
-                   {{"pool", pool.value()},
-                    {"token", std::to_string(token.value())},
-                    {"roles", std::to_string(owned_.size())},
-                    {"members", std::to_string(view_.members().size())}});
-    }
+    Event("acquired", {{"pool", pool.value()},
+                       {"token", std::to_string(token.value())},
+                       {"roles", std::to_string(owned_.size())},
+                       {"members", std::to_string(view_.members().size())}});
     hooks_.on_acquired(pool, token, acquisition_lease_[pool]);
   }
 
-  void ScheduleUpdate(Duration pause) {
+  void ScheduleDecision(Duration pause) {
     const Instant when = timers_.Now() + pause;
-    if (is_update_scheduled_ && update_at_ <= when) return;
-    timers_.Cancel(update_timer_);
-    is_update_scheduled_ = true;
-    update_at_ = when;
-    update_timer_ = timers_.ScheduleAt(when, [weak = weak_from_this()] {
+    if (is_decision_scheduled_ && decision_at_ <= when) return;
+    timers_.Cancel(decision_timer_);
+    is_decision_scheduled_ = true;
+    decision_at_ = when;
+    decision_timer_ = timers_.ScheduleAt(when, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self == nullptr || self->is_halted_) return;
-      self->is_update_scheduled_ = false;
-      self->Update();
+      self->is_decision_scheduled_ = false;
+      self->DropLost();
+      self->Decide();
     });
   }
 
@@ -271,19 +406,32 @@
   std::set<PoolId> observed_;
   /// Roles whose acquisition is in flight.
   std::set<PoolId> acquiring_;
+  /// Roles the removal of whose owner key is in flight.
+  std::set<PoolId> removing_;
+  /// Roles that are being handed over, and whether the receiver of the hook has
+  /// stopped acting as the owner.
+  std::map<PoolId, bool> handing_over_;
+  /// Earliest time of the next hand-over while there is reason for one.
+  std::optional<Instant> hand_over_at_;
+  /// Earliest time to acquire each role again that was handed over.
+  std::map<PoolId, Instant> retake_at_;
   /// Time from which the chosen entry may acquire each role without an owner.
   std::map<PoolId, Instant> acquirable_at_;
-  std::set<EntryId> known_members_;
-  /// Times at which the first and the latest member appeared in the view.
+  /// Registrations of the view as of the latest update.
+  std::map<EntryId, Version> registrations_;
+  /// Time of the first registration since the last role lost its owner.
   std::optional<Instant> first_join_at_;
-  Instant last_join_at_{};
+  std::optional<Instant> last_join_at_;
+  /// Whether no role had an owner as of the latest update.
+  bool is_vacant_ = true;
+  bool is_wait_logged_ = false;
   /// Lease to which the latest acquisition of each role is attached.
   std::map<PoolId, LeaseId> acquisition_lease_;
   /// Lease to which the entry's registration is attached.
   LeaseId registered_lease_;
-  Instant update_at_{};
-  TimerId update_timer_ = 0;
-  bool is_update_scheduled_ = false;
+  Instant decision_at_{};
+  TimerId decision_timer_ = 0;
+  bool is_decision_scheduled_ = false;
   bool is_registering_ = false;
   bool is_leaving_ = false;
   bool is_halted_ = false;
--- a/libs/jobserver/test/ownership_test.cc
+++ b/libs/jobserver/test/ownership_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cluster_view.h"
+#include "pomelomill/base/random.h"
 #include "pomelomill/base/virtual_timer_service.h"
 #include "pomelomill/jobtesting.h"
 #include "pomelomill/store/lease_keeper.h"
@@ -69,17 +70,18 @@
 /// The parts of an entry that acquire roles, on a store shared with others.
 struct Entry {
   Entry(FakeKvStore& store, VirtualTimerService& timers,
-        const std::string& name, const EntryCapacity& capacity)
+        const std::string& name, const EntryCapacity& capacity,
+        const std::string& incarnation = "1")
       : client(store.Client(timers, faults)),
         leases(store.Leases(timers, faults)),
         lease(leases, timers,
               {.ttl = seconds(3), .drift_margin = milliseconds(300)},
               {.on_held = [this](const LeaseId&) { ownership.Update(); }}),
-        ownership(
-            client, timers, lease, view, Settings(name, capacity),
-            IncarnationId(name + ".1"),
-            {.on_acquired = [](const PoolId&, FencingToken, const LeaseId&) {},
-             .on_lost = [](const PoolId&) {}}),
+        ownership(client, timers, lease, view, Settings(name, capacity),
+                  IncarnationId(name + "." + incarnation),
+                  {.on_acquired = [this](const PoolId&, FencingToken,
+                                         const LeaseId&) { ++acquisitions; },
+                   .on_lost = [](const PoolId&) {}}),
         cluster(client, timers, kClusterPrefix,
                 {.on_change =
                      [this](const StoredKey& change) {
@@ -101,6 +103,7 @@
     return settings;
   }
 
+  std::size_t acquisitions = 0;
   StoreFaults faults;
   JobServiceSettings settings;
   TransactionClient client;
@@ -111,6 +114,41 @@
   PrefixFollower cluster;
 };
 
+using Entries = std::vector<std::unique_ptr<Entry>>;
+
+/// Adds `n` strong entries that start at once.
+void AddEntries(Entries& entries, FakeKvStore& store,
+                VirtualTimerService& timers, std::size_t n) {
+  for (std::size_t i = 0; i < n; ++i) {
+    entries.push_back(std::make_unique<Entry>(
+        store, timers, "e" + std::to_string(entries.size()), kStrong));
+  }
+}
+
+/// Replaces the process of entry `i`. The former one stays in `ended`, without
+/// a connection, since calls in flight refer to it.
+void RestartEntry(Entries& entries, std::size_t i, Entries& ended,
+                  FakeKvStore& store, VirtualTimerService& timers) {
+  entries[i]->faults.is_cut = true;
+  ended.push_back(std::move(entries[i]));
+  entries[i] = std::make_unique<Entry>(store, timers, "e" + std::to_string(i),
+                                       kStrong, "2");
+}
+
+/// Number of roles that some entry owns; a role that several entries own counts
+/// for each.
+std::size_t CountOwnedRoles(const Entries& entries) {
+  std::size_t n = 0;
+  for (const auto& it : entries) n += it->ownership.owned().size();
+  return n;
+}
+
+std::size_t CountAcquisitions(const Entries& entries) {
+  std::size_t n = 0;
+  for (const auto& it : entries) n += it->acquisitions;
+  return n;
+}
+
 }  // namespace
 
 // Guards against weak entries that acquire all roles because they started
@@ -167,6 +205,196 @@
   CHECK(pools.size() == 6);
 }
 
+// Guards against the first entry that has a lease again acquiring all roles.
+TEST_CASE("after all leases have lapsed roles wait for the other entries") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  AddEntries(entries, store, timers, 6);
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  for (const auto& it : entries) it->faults.is_cut = true;
+  timers.Advance(seconds(5));
+  store.RevokeLeases();
+  entries[0]->faults.is_cut = false;
+  for (int i = 0; i < 40; ++i) {
+    CAPTURE(i);
+    if (i == 13) {
+      for (const auto& it : entries) it->faults.is_cut = false;
+    }
+    timers.Advance(milliseconds(100));
+    if (entries[0]->lease.is_held() && i > 2)
+      CHECK(entries[0]->ownership.owned().size() <= 1);
+  }
+  CHECK(CountOwnedRoles(entries) == 6);
+  for (const auto& it : entries) CHECK(it->ownership.owned().size() == 1);
+}
+
+// Guards against an entry that has a lease again before any entry is registered
+// and takes the view without members for a takeover.
+TEST_CASE("roles wait while no entry is registered") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  for (int i = 0; i < 6; ++i) {
+    AddEntries(entries, store, timers, 1);
+    timers.Advance(milliseconds(130));
+  }
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  store.RevokeLeases();
+  std::size_t most = 0;
+  for (int i = 0; i < 400; ++i) {
+    timers.Advance(milliseconds(10));
+    for (const auto& it : entries)
+      most = std::max(most, it->ownership.owned().size());
+  }
+  CHECK(most == 1);
+  CHECK(CountOwnedRoles(entries) == 6);
+}
+
+// Guards against a startup wait without bound when the other entries do not
+// come back.
+TEST_CASE("an entry that stays alone acquires all roles in the end") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  AddEntries(entries, store, timers, 6);
+  timers.Advance(seconds(4));
+  for (const auto& it : entries) it->faults.is_cut = true;
+  timers.Advance(seconds(5));
+  store.RevokeLeases();
+  entries[0]->faults.is_cut = false;
+  // Up to 2.5 s until the lease and the watch are back, and the longest startup
+  // wait.
+  timers.Advance(seconds(5));
+  CHECK(entries[0]->ownership.owned().size() == 6);
+}
+
+// Guards against an entry that acquires all roles of its previous process, more
+// than it can carry, while others own none.
+TEST_CASE("a restarted entry takes back only the roles that it can carry") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries ended;
+  Entries entries;
+  AddEntries(entries, store, timers, 1);
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  AddEntries(entries, store, timers, 5);
+  timers.Advance(milliseconds(300));
+  REQUIRE(entries[0]->ownership.owned().size() == 6);
+  RestartEntry(entries, 0, ended, store, timers);
+  // Shorter than the lease of the previous process.
+  timers.Advance(milliseconds(700));
+  CHECK(CountOwnedRoles(entries) == 6);
+  CHECK(entries[0]->ownership.owned().size() <= 3);
+  CHECK(entries[0]->ownership.owned().size() >= 1);
+}
+
+// Guards against needless changes of owner after a restart.
+TEST_CASE("a restarted entry takes back its share at once") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries ended;
+  Entries entries;
+  AddEntries(entries, store, timers, 6);
+  timers.Advance(seconds(4));
+  for (std::size_t i = 0; i < 6; ++i) {
+    CAPTURE(i);
+    REQUIRE(entries[i]->ownership.owned().size() == 1);
+    const PoolId role = entries[i]->ownership.owned().begin()->first;
+    RestartEntry(entries, i, ended, store, timers);
+    timers.Advance(milliseconds(100));
+    CHECK(entries[i]->ownership.owned().size() == 1);
+    CHECK(entries[i]->ownership.owned().contains(role));
+  }
+}
+
+// Guards against an entry that was alone for a while and stays overloaded.
+TEST_CASE("an entry with most of the work hands roles over one at a time") {
+  VirtualTimerService timers;
+  FakeKvStore store(timers);
+  Entries entries;
+  AddEntries(entries, store, timers, 1);
+  timers.Advance(seconds(4));
+  REQUIRE(CountOwnedRoles(entries) == 6);
+  AddEntries(entries, store, timers, 5);
+  std::size_t fewest = 6;
+  for (int i = 0; i < 1000; ++i) {
+    timers.Advance(milliseconds(10));
+    const std::size_t n = entries[0]->ownership.owned().size();
+    // Never takes a role back.
+    CHECK(n <= fewest);
+    fewest = std::min(fewest, n);
+    CHECK(CountOwnedRoles(entries) >= 5);
+  }
+  CHECK(CountOwnedRoles(entries) == 6);
+  CHECK(entries[0]->ownership.owned().size() <= 4);
+  for (const auto& it : entries) {
+    if (it != entries[0]) CHECK(it->ownership.owned().size() <= 1);
+  }
+  // Each role that was handed over had one further owner.
+  const std::size_t moved = 6 - entries[0]->ownership.owned().size();
+  CHECK(CountAcquisitions(entries) == 6 + moved);
+}
+
+// Guards against hand-overs without need, which stop starts of tasks for a
+// moment.
+TEST_CASE("no role is handed over in a balanced deployment") {
+  for (const std::size_t n : {1U, 2U, 3U, 6U, 12U}) {
+    CAPTURE(n);
+    VirtualTimerService timers;
+    FakeKvStore store(timers);
+    Entries entries;
+    AddEntries(entries, store, timers, n);
+    timers.Advance(seconds(4));
+    CHECK(CountOwnedRoles(entries) == 6);
+    timers.Advance(seconds(60));
+    CHECK(CountAcquisitions(entries) == 6);
+  }
+}
+
+// Guards against roles that go back and forth between entries, and against
+// hand-overs of what ChooseOwners() has just chosen.
+TEST_CASE("hand-overs end and move no role twice") {
+  std::size_t moved = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    const Roles roles = DeploymentRoles();
+    Members members;
+    AddMembers(members, "strong", random.Below(4), kStrong);
+    AddMembers(members, "weak", 1 + random.Below(8), kWeak);
+    Owners owned = ChooseOwners(roles, {}, members);
+    for (const auto& [entry, member] : members)
+      CHECK_FALSE(ChooseHandOver(roles, entry, owned, members));
+    std::vector<EntryId> entries;
+    for (const auto& [entry, member] : members) entries.push_back(entry);
+    for (auto& [role, owner] : owned)
+      owner = entries[random.Chance(0.7) ? 0 : random.Below(entries.size())];
+    std::set<PoolId> handed_over;
+    for (std::size_t i = 0; i < entries.size();) {
+      const auto next = ChooseHandOver(roles, entries[i], owned, members);
+      if (!next) {
+        ++i;
+        continue;
+      }
+      CAPTURE(next->role.value());
+      REQUIRE(owned.at(next->role) == entries[i]);
+      REQUIRE(handed_over.insert(next->role).second);
+      owned.erase(next->role);
+      // All entries choose the one that was named.
+      CHECK(ChooseOwners(roles, owned, members).at(next->role) == next->to);
+      owned[next->role] = next->to;
+    }
+    for (const EntryId& it : entries)
+      CHECK_FALSE(ChooseHandOver(roles, it, owned, members));
+    moved += handed_over.size();
+  }
+  CHECK(moved > 300);
+}
+
 // Guards against roles without an owner, and against an entry with two roles
 // while equal entries have none.
 TEST_CASE("equal entries get one role each") {
