Take lost workers out of the roster while they are listed

Cause: a lost worker stayed in the roster until the store no longer listed it, 4.5 s or more after its crash, so the next owner awaited its report.

Now a worker leaves the roster as soon as certainly nothing runs there (its link is lost) and returns to it after its next report. The dispatcher may place tasks on a worker only while the stored roster names it and no write in flight takes it out: a write that removes a worker could otherwise be stored after a task was started there. That gap existed before for lost workers that were listed again.

Ruled out, by reading: asking other entries whether they reach the worker (it may be cut off from all); a start that the next incarnation of such a worker carries out late is no likelier than before: the next owner calls each listed worker, with its own token, as often as the former one did.

Test: inherited_lease_test, "a worker whose end the former owner knew is not awaited"; with the change left out it waits like one whose end was not known.

--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -70,8 +70,7 @@
                     .incarnation = hooks_.incarnation},
         PoolRosterHooks{
             .on_read = [this](const auto& it) { leases_.SetPrevious(it); },
-            .earlier_owners_gone_at =
-                [this] { return leases_.extended_until(); },
+            .alone_from = [this] { return leases_.extended_until(); },
             .on_loaded = [this] { LoadProgress(); },
             .on_stored = [this] { ApplyList(); },
             .on_committed = [this](Version it) { OnCommitted(it); },
@@ -136,10 +135,7 @@
     if (is_releasing_) return;
     is_releasing_ = true;
     on_released_ = std::move(done);
-    timers_.ScheduleAfter(kReleaseTimeout, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self != nullptr && !self->is_halted_) self->FinishRelease();
-    });
+    timers_.ScheduleAfter(kReleaseTimeout, Guarded(&Impl::FinishRelease));
     ContinueRelease();
   }
 
@@ -168,18 +164,20 @@
   void ReportLost(const char* reason) {
     Event("lost", {{"reason", reason}});
     // Deferred: the hook destroys this object, whose functions are running.
-    timers_.ScheduleAfter(Duration(0), [weak = weak_from_this()] {
+    timers_.ScheduleAfter(Duration(0), Guarded(&Impl::CallOnLost));
+  }
+
+  void CallOnLost() { hooks_.on_lost(); }
+
+  std::function<void()> Guarded(void (Impl::*step)()) {
+    return [weak = weak_from_this(), step] {
       const auto self = weak.lock();
-      if (self != nullptr && !self->is_halted_) self->hooks_.on_lost();
-    });
+      if (self != nullptr && !self->is_halted_) (self.get()->*step)();
+    };
   }
 
   void RetryLater(void (Impl::*step)()) {
-    retry_timer_ =
-        timers_.ScheduleAfter(kRetryDelay, [weak = weak_from_this(), step] {
-          const auto self = weak.lock();
-          if (self != nullptr && !self->is_halted_) (self.get()->*step)();
-        });
+    retry_timer_ = timers_.ScheduleAfter(kRetryDelay, Guarded(step));
   }
 
   void LoadProgress() {
@@ -299,15 +297,19 @@
     ApplyWorkers();
   }
 
-  /// A worker must be in the stored roster before tasks are started on it: the
-  /// next owner reads from the roster which workers may be running tasks.
+  /// The next owner waits for the workers in the roster. A worker must be in it
+  /// before tasks are started there; one on which nothing runs need not be.
   void UpdateRoster() {
     if (is_releasing_) return;
     auto wanted = roster_->current().workers;
+    for (const ListedWorker& it : listed_) wanted[it.spec.id] = it.address;
     std::erase_if(wanted, [&](const auto& it) {
-      return !IsListed(it.first) && lost_workers_.contains(it.first);
+      const auto link = links_.find(it.first);
+      const bool is_called =
+          link != links_.end() && link->second->address().address == it.second;
+      return lost_workers_.contains(it.first) &&
+             (is_called || !IsListed(it.first));
     });
-    for (const ListedWorker& it : listed_) wanted[it.spec.id] = it.address;
     roster_->SetWorkers(std::move(wanted));
   }
 
@@ -319,10 +321,7 @@
   void ApplyWorkers() {
     std::vector<WorkerSpec> usable;
     for (const ListedWorker& it : listed_) {
-      const auto known = roster_->current().workers.find(it.spec.id);
-      if (known == roster_->current().workers.end() ||
-          known->second != it.address)
-        continue;
+      if (!roster_->Contains({it.spec.id, it.address})) continue;
       usable.push_back(it.spec);
       EnsureLink({it.spec.id, it.address}, leases_.RemainingWithOwn());
     }
@@ -353,7 +352,7 @@
     return {
         .on_report =
             [this, id](const WorkerReport& report) {
-              lost_workers_.erase(id);
+              is_list_outdated_ |= lost_workers_.erase(id) != 0;
               const std::size_t ends = report.ended.size();
               if (backlogs_.Begins(id, ends))
                 Event("worker-backlog",
@@ -377,6 +376,7 @@
                                     {"reason", ToText(loss)},
                                     {"listed", YesOrNo(IsListed(id))}});
               lost_workers_.insert(id);
+              is_list_outdated_ = true;
               dispatcher_->OnWorkerGone(id, loss, timers_.Now(),
                                         hooks_.wall_ms());
               plans_.Schedule();
@@ -440,6 +440,7 @@
   }
 
   void Plan() {
+    if (std::exchange(is_list_outdated_, false)) ApplyList();
     if (is_loaded_ && !is_releasing_) {
       if (MaySendOrders()) {
         const bool may_start = MayStartTasks();
@@ -485,12 +486,12 @@
   void ScheduleStore() {
     if (is_store_scheduled_) return;
     is_store_scheduled_ = true;
-    timers_.ScheduleAt(store_at_, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self == nullptr || self->is_halted_) return;
-      self->is_store_scheduled_ = false;
-      self->StoreProgress();
-    });
+    timers_.ScheduleAt(store_at_, Guarded(&Impl::StoreNow));
+  }
+
+  void StoreNow() {
+    is_store_scheduled_ = false;
+    StoreProgress();
   }
 
   void OnStored(std::uint64_t number) {
@@ -502,15 +503,13 @@
 
   void ScheduleCleanup() {
     cleanup_timer_ =
-        timers_.ScheduleAfter(kCleanupPeriod, [weak = weak_from_this()] {
-          const auto self = weak.lock();
-          if (self == nullptr || self->is_halted_) return;
-          const auto jobs =
-              self->dispatcher_->TakeExpiredJobs(self->timers_.Now());
-          if (!jobs.empty() && self->MaySendOrders())
-            self->writer_->Remove(jobs);
-          self->ScheduleCleanup();
-        });
+        timers_.ScheduleAfter(kCleanupPeriod, Guarded(&Impl::RemoveExpired));
+  }
+
+  void RemoveExpired() {
+    const auto jobs = dispatcher_->TakeExpiredJobs(timers_.Now());
+    if (!jobs.empty() && MaySendOrders()) writer_->Remove(jobs);
+    ScheduleCleanup();
   }
 
   void ContinueRelease() {
@@ -563,6 +562,7 @@
   /// Earliest time of the next write of progress.
   Instant store_at_{};
   bool is_store_scheduled_ = false;
+  bool is_list_outdated_ = false;
   bool is_loaded_ = false;
   bool is_releasing_ = false;
   bool is_owner_key_removal_sent_ = false;
--- a/libs/jobserver/src/pool_roster.cc
+++ b/libs/jobserver/src/pool_roster.cc
@@ -53,7 +53,7 @@
   void StoreEarlierOwnersGone() {
     const bool is_due = is_loaded_ && !is_released_ && !is_write_in_flight_ &&
                         !current_.are_earlier_owners_gone &&
-                        timers_.Now() >= hooks_.earlier_owners_gone_at();
+                        timers_.Now() >= hooks_.alone_from();
     if (is_due) Write(current_, false);
   }
 
@@ -77,6 +77,14 @@
                    });
   }
 
+  bool Contains(const WorkerAddress& worker) const {
+    const auto names = [&](const RosterRecord& roster) {
+      const auto it = roster.workers.find(worker.id);
+      return it != roster.workers.end() && it->second == worker.address;
+    };
+    return names(current_) && (!is_write_in_flight_ || names(written_));
+  }
+
   const RosterRecord& previous() const { return previous_; }
   const RosterRecord& current() const { return current_; }
 
@@ -117,8 +125,8 @@
   /// Stores the roster on condition that the pool still has this owner.
   void Write(RosterRecord roster, bool is_initial) {
     is_write_in_flight_ = true;
-    roster.are_earlier_owners_gone =
-        timers_.Now() >= hooks_.earlier_owners_gone_at();
+    roster.are_earlier_owners_gone = timers_.Now() >= hooks_.alone_from();
+    written_ = roster;
     Transaction transaction;
     transaction.expectations = {{OwnerKey(pool_), Version(token_.value())},
                                 {RosterKey(pool_), version_}};
@@ -134,12 +142,11 @@
 
   void OnLoaded() {
     if (!current_.are_earlier_owners_gone) {
-      timers_.ScheduleAt(hooks_.earlier_owners_gone_at(),
-                         [weak = weak_from_this()] {
-                           const auto self = weak.lock();
-                           if (self != nullptr && !self->is_halted_)
-                             self->StoreEarlierOwnersGone();
-                         });
+      timers_.ScheduleAt(hooks_.alone_from(), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->is_halted_)
+          self->StoreEarlierOwnersGone();
+      });
     }
     hooks_.on_loaded();
   }
@@ -175,6 +182,8 @@
   PoolRosterHooks hooks_;
   RosterRecord previous_;
   RosterRecord current_;
+  /// What the write in flight stores.
+  RosterRecord written_;
   Version version_;
   bool is_write_in_flight_ = false;
   bool is_loaded_ = false;
@@ -198,6 +207,9 @@
 void PoolRoster::ReleasePool(std::function<void()> done) {
   impl_->ReleasePool(std::move(done));
 }
+bool PoolRoster::Contains(const WorkerAddress& worker) const {
+  return impl_->Contains(worker);
+}
 const RosterRecord& PoolRoster::previous() const { return impl_->previous(); }
 const RosterRecord& PoolRoster::current() const { return impl_->current(); }
 
--- a/libs/jobserver/src/pool_roster.h
+++ b/libs/jobserver/src/pool_roster.h
@@ -19,7 +19,7 @@
   /// Time after which no earlier owner extends leases of workers; it may become
   /// earlier, see StoreEarlierOwnersGone(). That it has passed is stored, so
   /// that the next owner needs to ask for the end of this one only.
-  std::function<Instant()> earlier_owners_gone_at;
+  std::function<Instant()> alone_from;
   /// The stored roster has been read, and its count of owners has been
   /// incremented for this owner and stored.
   std::function<void()> on_loaded;
@@ -54,13 +54,16 @@
   /// Stores the present roster again, for a newer version of the store. Does
   /// nothing while a write is in flight.
   void Rewrite();
-  /// PoolRosterHooks::earlier_owners_gone_at has become earlier.
+  /// PoolRosterHooks::alone_from has become earlier.
   void StoreEarlierOwnersGone();
   /// Removes the owner key and, if the roster is loaded, marks it as released.
   /// The owner must extend no lease after this call. `done` runs when the store
   /// has responded or the call has ended.
   void ReleasePool(std::function<void()> done);
 
+  /// Whether the stored roster names the worker at the address, also after a
+  /// write that is in flight.
+  bool Contains(const WorkerAddress& worker) const;
   /// The roster that the previous owner left.
   const RosterRecord& previous() const;
   /// The roster that this owner last stored.
--- a/libs/jobserver/test/inherited_lease_test.cc
+++ b/libs/jobserver/test/inherited_lease_test.cc
@@ -53,13 +53,14 @@
     owner = static_cast<std::size_t>(world.Owner(0));
   }
 
-  /// The worker is gone for good. Its address refuses connections, so that only
-  /// an owner that was connected to it knows of its end. The store lists it for
-  /// `listed_for`.
-  void CrashWorker(Duration listed_for = seconds(4)) {
+  /// The worker is gone for good, and the store removes its entry 4 s later.
+  /// Its address refuses connections, so that nobody knows of its end; if
+  /// `is_known`, its owner does, as it was connected to it.
+  void CrashWorker(bool is_known = false) {
+    unlisted_at_ = now_ + seconds(4);
     world.workers().Crash(worker_);
+    if (is_known) Advance(milliseconds(400));
     world.workers().SetRefusing(worker_, true);
-    unlisted_at_ = now_ + listed_for;
   }
 
   void Advance(Duration time) {
@@ -80,6 +81,18 @@
     FAIL("the pool has no new owner");
   }
 
+  /// Returns the time until a task of the job runs.
+  Duration TimeUntilRunOf(const std::string& job) {
+    const Duration from = now_;
+    const auto runs = [&] {
+      return std::any_of(
+          world.workers().runs().begin(), world.workers().runs().end(),
+          [&](const RunRecord& it) { return it.key.job.value() == job; });
+    };
+    while (now_ - from < seconds(30) && !runs()) Advance(milliseconds(10));
+    return now_ - from;
+  }
+
   /// Returns the time until a lost task runs again.
   Duration TimeUntilRestart() {
     const Duration from = now_;
@@ -276,6 +289,21 @@
   it.CheckRules();
 }
 
+TEST_CASE("a worker whose end the former owner knew is not awaited") {
+  for (const bool is_known : {false, true}) {
+    CAPTURE(is_known);
+    CrashBeforeTakeover it;
+    it.CrashWorker(is_known);
+    it.Advance(milliseconds(500));
+    it.world.KillEntry(it.owner);
+    it.world.Submit((it.owner + 1) % 3, "late", 0, ChainJob(1, 1));
+    it.AwaitTakeover(static_cast<int>(it.owner));
+    const Duration waited = it.TimeUntilRunOf("late");
+    CHECK((waited < seconds(1)) == is_known);
+    it.CheckRules();
+  }
+}
+
 // Guards against TWICE: a former owner that is cut off from the store extends
 // leases while its successor ends and is replaced in turn.
 TEST_CASE("an owner before the previous one may have extended a lease") {
