--- a/libs/jobserver/src/cluster_view.cc
+++ b/libs/jobserver/src/cluster_view.cc
@@ -235,6 +235,14 @@
   return it->second.peer_address;
 }
 
+bool ClusterView::HasStopped(const OwnerRecord& owner,
+                             Version successor) const {
+  const auto it = members_.find(owner.entry);
+  if (it == members_.end()) return false;
+  return it->second.incarnation != owner.incarnation ||
+         registrations_.at(owner.entry) > successor;
+}
+
 std::map<PoolId, EntryId> ChooseOwners(
     const Roles& roles, const std::map<PoolId, EntryId>& owned,
     const std::map<EntryId, MemberRecord>& members) {
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -1,19 +1,18 @@
 #include "pool_owner.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
 
 #include "dispatch_event_fields.h"
 #include "evacuation_tracker.h"
+#include "inherited_leases.h"
 #include "order_sender.h"
 #include "plan_scheduler.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/jobserver/worker_link.h"
 #include "pomelomill/store/prefix_follower.h"
-#include "pomelomill/store/store_error.h"
 #include "pool_roster.h"
 #include "progress_writer.h"
 #include "store_keys.h"
@@ -57,6 +56,7 @@
         hooks_(std::move(hooks)),
         orders_(platform_.workers, timers_, MakeOrderHooks()),
         newest_token_(token),
+        leases_(settings, timers, hooks_.has_stopped),
         plans_(timers_, kMinPlanInterval, [this] {
           if (!is_halted_) Plan();
         }) {}
@@ -65,9 +65,13 @@
     config_ = config;
     roster_.emplace(
         platform_.store, timers_, pool_, token_,
+        OwnerRecord{.entry = settings_.entry,
+                    .incarnation = hooks_.incarnation},
         PoolRosterHooks{
+            .on_read = [this](const auto& it) { leases_.SetPrevious(it); },
+            .alone_from = [this] { return leases_.extended_until(); },
             .on_loaded = [this] { LoadProgress(); },
-            .on_stored = [this] { ApplyWorkers(); },
+            .on_stored = [this] { ApplyList(); },
             .on_committed = [this](Version it) { OnCommitted(it); },
             .on_lost = [this] { ReportLost("the owner key has changed"); },
             .on_bad_record =
@@ -116,24 +120,24 @@
 
   void OnWorkers(const std::vector<ListedWorker>& workers) {
     listed_ = workers;
-    if (!is_loaded_) return;
-    UpdateRoster();
-    ApplyWorkers();
+    ApplyList();
+  }
+
+  void OnClusterChange() {
+    if (!leases_.Update()) return;
+    for (auto& [id, link] : links_)
+      link->LimitInheritedLease(leases_.Remaining());
+    roster_->StoreEarlierOwnersGone();
   }
 
   void Release(std::function<void()> done) {
     if (is_releasing_) return;
     is_releasing_ = true;
     on_released_ = std::move(done);
-    timers_.ScheduleAfter(kReleaseTimeout, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self != nullptr && !self->is_halted_) self->FinishRelease();
-    });
+    timers_.ScheduleAfter(kReleaseTimeout, Guarded(&Impl::FinishRelease));
     ContinueRelease();
   }
 
-  const PoolId& pool() const { return pool_; }
-  FencingToken token() const { return token_; }
   bool is_loaded() const { return is_loaded_; }
 
   std::optional<JobPhase> ShownPhase(const JobId& job) const {
@@ -157,46 +161,46 @@
   void ReportLost(const char* reason) {
     Event("lost", {{"reason", reason}});
     // Deferred: the hook destroys this object, whose functions are running.
-    timers_.ScheduleAfter(Duration(0), [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self != nullptr && !self->is_halted_) self->hooks_.on_lost();
-    });
+    timers_.ScheduleAfter(Duration(0), Guarded(&Impl::CallOnLost));
   }
 
-  void RetryLater(void (Impl::*step)()) {
-    retry_timer_ =
-        timers_.ScheduleAfter(kRetryDelay, [weak = weak_from_this(), step] {
-          const auto self = weak.lock();
-          if (self != nullptr && !self->is_halted_) (self.get()->*step)();
-        });
-  }
+  void CallOnLost() { hooks_.on_lost(); }
 
-  template <typename T, typename Then>
-  StoreCallback<T> Guarded(Then then) {
-    return [weak = weak_from_this(), then](Result<T> result) {
+  std::function<void()> Guarded(void (Impl::*step)()) {
+    return [weak = weak_from_this(), step] {
       const auto self = weak.lock();
-      if (self != nullptr && !self->is_halted_) then(*self, std::move(result));
+      if (self != nullptr && !self->is_halted_) (self.get()->*step)();
     };
   }
 
+  void RetryLater(void (Impl::*step)()) {
+    retry_timer_ = timers_.ScheduleAfter(kRetryDelay, Guarded(step));
+  }
+
   void LoadProgress() {
     platform_.store.read_prefix(
         ProgressPrefix(pool_), kStoreTimeout,
-        Guarded<PrefixRead>([](Impl& self, Result<PrefixRead> result) {
-          if (!result) return self.RetryLater(&Impl::LoadProgress);
-          const std::size_t prefix = ProgressPrefix(self.pool_).size();
-          for (const StoredKey& it : result->items) {
-            const JobId job(it.key.substr(prefix));
-            self.writer_->SetStoredVersion(job, it.version);
-            const auto progress = DecodeJobProgress(it.value);
-            if (progress) {
-              self.loaded_progress_[job] = *progress;
-            } else {
-              self.Event("bad-record", {{"key", it.key}});
-            }
-          }
-          self.FollowJobs();
-        }));
+        [weak = weak_from_this()](const Result<PrefixRead>& result) {
+          const auto self = weak.lock();
+          if (self == nullptr || self->is_halted_) return;
+          if (!result) return self->RetryLater(&Impl::LoadProgress);
+          self->OnProgressRead(*result);
+        });
+  }
+
+  void OnProgressRead(const PrefixRead& read) {
+    const std::size_t prefix = ProgressPrefix(pool_).size();
+    for (const StoredKey& it : read.items) {
+      const JobId job(it.key.substr(prefix));
+      writer_->SetStoredVersion(job, it.version);
+      const auto progress = DecodeJobProgress(it.value);
+      if (progress) {
+        loaded_progress_[job] = *progress;
+      } else {
+        Event("bad-record", {{"key", it.key}});
+      }
+    }
+    FollowJobs();
   }
 
   void FollowJobs() {
@@ -231,9 +235,8 @@
            {"workers", std::to_string(roster_->previous().workers.size())},
            {"owners", std::to_string(roster_->current().owner_count)}});
     for (const auto& [id, address] : roster_->current().workers)
-      EnsureLink({id, address});
-    UpdateRoster();
-    ApplyWorkers();
+      EnsureLink({id, address}, leases_.Remaining());
+    ApplyList();
     ScheduleCleanup();
   }
 
@@ -285,15 +288,25 @@
     plans_.Schedule();
   }
 
-  /// A worker must be in the stored roster before tasks are started on it: the
-  /// next owner reads from the roster which workers may be running tasks.
+  void ApplyList() {
+    if (!is_loaded_) return;
+    UpdateRoster();
+    ApplyWorkers();
+  }
+
+  /// The next owner waits for the workers in the roster. A worker must be in it
+  /// before tasks are started there; one on which nothing runs need not be.
   void UpdateRoster() {
     if (is_releasing_) return;
     auto wanted = roster_->current().workers;
+    for (const ListedWorker& it : listed_) wanted[it.spec.id] = it.address;
     std::erase_if(wanted, [&](const auto& it) {
-      return !IsListed(it.first) && lost_workers_.contains(it.first);
+      const auto link = links_.find(it.first);
+      const bool is_called =
+          link != links_.end() && link->second->address().address == it.second;
+      return lost_workers_.contains(it.first) &&
+             (is_called || !IsListed(it.first));
     });
-    for (const ListedWorker& it : listed_) wanted[it.spec.id] = it.address;
     roster_->SetWorkers(std::move(wanted));
   }
 
@@ -305,12 +318,9 @@
   void ApplyWorkers() {
     std::vector<WorkerSpec> usable;
     for (const ListedWorker& it : listed_) {
-      const auto known = roster_->current().workers.find(it.spec.id);
-      if (known == roster_->current().workers.end() ||
-          known->second != it.address)
-        continue;
+      if (!roster_->Contains({it.spec.id, it.address})) continue;
       usable.push_back(it.spec);
-      EnsureLink({it.spec.id, it.address});
+      EnsureLink({it.spec.id, it.address}, leases_.RemainingWithOwn());
     }
     dispatcher_->SetListedWorkers(usable);
     DropGoneLinks();
@@ -318,29 +328,24 @@
   }
 
   void DropGoneLinks() {
-    for (auto it = links_.begin(); it != links_.end();) {
-      const auto& [id, link] = *it;
-      const bool is_gone = link->is_lost() && !listed_.empty() && !IsListed(id);
+    std::erase_if(links_, [&](const auto& it) {
+      const auto& [id, link] = it;
+      if (!link->is_lost() || listed_.empty() || IsListed(id)) return false;
       // The next incarnation of a process that is up would be listed.
-      if (is_gone) dispatcher_->ReleaseHeldTasks(id, timers_.Now());
+      dispatcher_->ReleaseHeldTasks(id, timers_.Now());
       // As long as an order is open, the link calls that incarnation early.
-      const bool is_needed = !is_gone || link->has_open_orders();
-      it = is_needed ? std::next(it) : links_.erase(it);
-    }
+      return !link->has_open_orders();
+    });
   }
 
-  void EnsureLink(const WorkerAddress& worker) {
+  void EnsureLink(const WorkerAddress& worker, Duration inherited_lease) {
     auto& link = links_[worker.id];
     if (link != nullptr && link->address() == worker) return;
     lost_workers_.erase(worker.id);
-    WorkerLinkOptions options;
-    options.task_lease = settings_.task_lease;
-    options.max_inherited_lease = settings_.entry_lease +
-                                  settings_.order_grace +
-                                  settings_.task_lease * 21 / 20;
-    link = std::make_unique<WorkerLink>(platform_.workers, timers_, worker,
-                                        newest_token_, LinkHooks(worker.id),
-                                        options);
+    link = std::make_unique<WorkerLink>(
+        platform_.workers, timers_, worker, newest_token_, LinkHooks(worker.id),
+        WorkerLinkOptions{.task_lease = settings_.task_lease,
+                          .max_inherited_lease = inherited_lease});
     link->Start();
   }
 
@@ -348,7 +353,7 @@
     return {
         .on_report =
             [this, id](const WorkerReport& report) {
-              lost_workers_.erase(id);
+              is_list_outdated_ |= lost_workers_.erase(id) != 0;
               const std::size_t ends = report.ended.size();
               if (backlogs_.Begins(id, ends))
                 Event("worker-backlog",
@@ -372,6 +377,7 @@
                                     {"reason", ToText(loss)},
                                     {"listed", YesOrNo(IsListed(id))}});
               lost_workers_.insert(id);
+              is_list_outdated_ = true;
               dispatcher_->OnWorkerGone(id, loss, timers_.Now(),
                                         hooks_.wall_ms());
               plans_.Schedule();
@@ -381,7 +387,6 @@
         .has_unstored_ends = [this,
                               id] { return dispatcher_->HasUnstoredEnds(id); },
         .has_tasks = [this, id] { return dispatcher_->HasTasks(id); },
-        .is_listed = [this, id] { return listed_.empty() || IsListed(id); },
         .may_send_orders = [this] { return MaySendOrders(); },
         .newest_token = [this] { return newest_token_; },
         .request_token = [this] { roster_->Rewrite(); }};
@@ -426,7 +431,8 @@
   }
 
   bool MaySendOrders() const {
-    return !is_halted_ && timers_.Now() < hooks_.orders_allowed_until();
+    return !is_halted_ && !is_owner_key_removal_sent_ &&
+           timers_.Now() < hooks_.orders_allowed_until();
   }
 
   bool MayStartTasks() const {
@@ -435,6 +441,7 @@
   }
 
   void Plan() {
+    if (std::exchange(is_list_outdated_, false)) ApplyList();
     if (is_loaded_ && !is_releasing_) {
       if (MaySendOrders()) {
         const bool may_start = MayStartTasks();
@@ -480,12 +487,12 @@
   void ScheduleStore() {
     if (is_store_scheduled_) return;
     is_store_scheduled_ = true;
-    timers_.ScheduleAt(store_at_, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self == nullptr || self->is_halted_) return;
-      self->is_store_scheduled_ = false;
-      self->StoreProgress();
-    });
+    timers_.ScheduleAt(store_at_, Guarded(&Impl::StoreNow));
+  }
+
+  void StoreNow() {
+    is_store_scheduled_ = false;
+    StoreProgress();
   }
 
   void OnStored(std::uint64_t number) {
@@ -497,29 +504,20 @@
 
   void ScheduleCleanup() {
     cleanup_timer_ =
-        timers_.ScheduleAfter(kCleanupPeriod, [weak = weak_from_this()] {
-          const auto self = weak.lock();
-          if (self == nullptr || self->is_halted_) return;
-          const auto jobs =
-              self->dispatcher_->TakeExpiredJobs(self->timers_.Now());
-          if (!jobs.empty() && self->MaySendOrders())
-            self->writer_->Remove(jobs);
-          self->ScheduleCleanup();
-        });
+        timers_.ScheduleAfter(kCleanupPeriod, Guarded(&Impl::RemoveExpired));
+  }
+
+  void RemoveExpired() {
+    const auto jobs = dispatcher_->TakeExpiredJobs(timers_.Now());
+    if (!jobs.empty() && MaySendOrders()) writer_->Remove(jobs);
+    ScheduleCleanup();
   }
 
   void ContinueRelease() {
     if (dispatcher_) StoreProgress();
     if (!writer_->is_idle() || is_owner_key_removal_sent_) return;
     is_owner_key_removal_sent_ = true;
-    Transaction transaction;
-    transaction.expectations = {{OwnerKey(pool_), Version(token_.value())}};
-    transaction.removals = {OwnerKey(pool_)};
-    platform_.store.commit(
-        std::move(transaction), kReleaseTimeout,
-        Guarded<CommitResult>([](Impl& self, const Result<CommitResult>&) {
-          self.FinishRelease();
-        }));
+    roster_->ReleasePool([this] { FinishRelease(); });
   }
 
   void FinishRelease() {
@@ -542,6 +540,7 @@
   /// that it owns the pool: higher than its own token, lower than that of any
   /// later owner.
   FencingToken newest_token_;
+  InheritedLeases leases_;
   PlanScheduler plans_;
   FleetConfig config_;
   std::optional<ProgressWriter> writer_;
@@ -564,6 +563,7 @@
   /// Earliest time of the next write of progress.
   Instant store_at_{};
   bool is_store_scheduled_ = false;
+  bool is_list_outdated_ = false;
   bool is_loaded_ = false;
   bool is_releasing_ = false;
   bool is_owner_key_removal_sent_ = false;
@@ -580,14 +580,13 @@
 
 void PoolOwner::Start(const FleetConfig& config) { impl_->Start(config); }
 void PoolOwner::OnConfig(const FleetConfig& config) { impl_->OnConfig(config); }
+void PoolOwner::OnClusterChange() { impl_->OnClusterChange(); }
 void PoolOwner::OnWorkers(const std::vector<ListedWorker>& workers) {
   impl_->OnWorkers(workers);
 }
 void PoolOwner::Release(std::function<void()> done) {
   impl_->Release(std::move(done));
 }
-const PoolId& PoolOwner::pool() const { return impl_->pool(); }
-FencingToken PoolOwner::token() const { return impl_->token(); }
 bool PoolOwner::is_loaded() const { return impl_->is_loaded(); }
 std::optional<JobPhase> PoolOwner::ShownPhase(const JobId& job) const {
   return impl_->ShownPhase(job);
