Take a worker for ended only by a connection that this owner had

The HTTP client remembers that a peer closed a connection in an orderly way until it next responds to this process. An owner that lost a pool and got it back later, after the worker had started again for another owner, could take three refused connections of a partition for the end of that process and start its tasks again (TWICE). Now the close counts only for a link that the worker has responded to; otherwise its inherited lease must lapse.

worker_link_test, "a closed connection proves nothing about a worker never reached", fails without the change. "a lost worker to which an order is open" answered its first renewal 20 s late, which is no response; it answers twice now.

--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -289,7 +289,7 @@
     // Refusals prove nothing to an owner that has never reached the worker,
     // even if the store does not list it: a partition may refuse connections
     // and cut the worker off from the store.
-    if (ec == WorkerError::kProcessEnded &&
+    if (ec == WorkerError::kProcessEnded && has_responded_ &&
         refusals_ >= options_.refusals_until_lost)
       return MarkLost(WorkerLoss::kConnectionsRefused);
     if (!is_lost_ && timers_.Now() > lease_expires_at_)
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -397,6 +397,17 @@
   CHECK(fixture.sent.back().max_wait > Duration(0));
 }
 
+// Guards against TWICE: the closed connection was one to a former incarnation,
+// which an earlier link of this process had called.
+TEST_CASE("a closed connection proves nothing about a worker never reached") {
+  LinkFixture fixture;
+  for (int i = 0; i < 5; ++i) {
+    fixture.Fail(WorkerError::kProcessEnded);
+    fixture.timers.Advance(milliseconds(150));
+  }
+  CHECK(fixture.lost_count == 0);
+}
+
 // Guards against TWICE and LIMIT: an order that was sent to the former
 // incarnation of a worker is carried out by the next one.
 TEST_CASE(
@@ -445,7 +456,9 @@
 TEST_CASE("a lost worker to which an order is open is called more often") {
   LinkFixture fixture;
   fixture.timers.Advance(seconds(20));
+  // The first response is stale by then.
   fixture.Answer(1000);
+  fixture.Answer(1010);
   const auto settle =
       fixture.link->TrackStart(*fixture.link->order_deadline_ms());
   for (int i = 0; i < 3; ++i) {
