Log requests that the HTTP client repeats, and starts that were not sent

A start answered as unhealthy by its worker and one that never left the process had the same text in task-start-answer, and a copy of a request that the client sends by itself left no trace. Whether a worker has seen a start twice could not be told from the log.

New: the line "http repeat" with method and target, and the outcome not-sent. The dispatcher treats both outcomes as before.

--- a/app/dispatch/dispatch_command.cc
+++ b/app/dispatch/dispatch_command.cc
@@ -80,12 +80,16 @@
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context context(1);
   AsioTimerService timers(context);
-  PersistentHttpClient http(context);
   EventOutput output(timers);
   const EventHook event = [&](std::string_view part, std::string_view name,
                               const std::vector<EventField>& fields) {
     output.Write(part, name, fields);
   };
+  PersistentHttpClient http(
+      context, {.on_repeat = [&event](const HttpRequest& request) {
+        event("http", "repeat",
+              {{"method", request.method}, {"target", request.url}});
+      }});
   const PlatformHooks hooks = platform::MakePlatformHooks(http, *settings);
   JobServer server(context, timers, http, hooks, *settings,
                    MakeIncarnationId(settings->entry),
--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -91,8 +91,8 @@
   /// A copy of a start that got no answer may be carried out for this long
   /// after its call has ended, also by the next incarnation of the worker.
   Duration late_start_lifetime = std::chrono::seconds(13);
-  /// A worker that answered a start with kNoRoom or kUnhealthy gets no tasks
-  /// for this long.
+  /// A worker that answered a start with kNoRoom, kUnhealthy or kNotSent gets
+  /// no tasks for this long.
   Duration refusal_backoff = std::chrono::milliseconds(250);
   /// Limit on starts that were sent and not answered; a larger gang is sent
   /// when no other start is in flight. A start of 4 KB takes 3.3 ms on the
--- a/libs/dispatch/include/pomelomill/dispatch/worker_report.h
+++ b/libs/dispatch/include/pomelomill/dispatch/worker_report.h
@@ -93,6 +93,8 @@
   kNoTicket,
   /// The worker is temporarily unable to start tasks; nothing was started.
   kUnhealthy,
+  /// The order did not leave this process; nothing was started.
+  kNotSent,
   /// The worker could not parse the order.
   kRejected,
   /// Another incarnation of the worker answered; nothing was started.
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -314,7 +314,8 @@
       RequestStop(key, *task, "start not answered");
     return;
   }
-  if (outcome == StartOutcome::kNoRoom || outcome == StartOutcome::kUnhealthy)
+  if (outcome == StartOutcome::kNoRoom || outcome == StartOutcome::kUnhealthy ||
+      outcome == StartOutcome::kNotSent)
     workers_.GetOrAdd(worker).blocked_until = now + options_.refusal_backoff;
   if (task->phase == RunPhase::kStopping && !task->is_stop_accepted) {
     // Nothing was started, but a copy of the order may still be in transit.
--- a/libs/dispatch/src/worker_report.cc
+++ b/libs/dispatch/src/worker_report.cc
@@ -36,6 +36,8 @@
       return "no-ticket";
     case StartOutcome::kUnhealthy:
       return "unhealthy";
+    case StartOutcome::kNotSent:
+      return "not-sent";
     case StartOutcome::kRejected:
       return "rejected";
     case StartOutcome::kOtherIncarnation:
--- a/libs/http/include/pomelomill/http/persistent_http_client.h
+++ b/libs/http/include/pomelomill/http/persistent_http_client.h
@@ -15,6 +15,8 @@
 struct PersistentHttpClientOptions {
   /// Idle connections that are kept to one address.
   std::size_t max_idle_connections_per_host = 4;
+  /// Called when the client sends a request again by itself.
+  std::function<void(const HttpRequest&)> on_repeat = {};
 };
 
 /// HTTP/1.1 exchanges with peers that are called many times a second, on Asio
--- a/libs/http/src/persistent_http_client.cc
+++ b/libs/http/src/persistent_http_client.cc
@@ -321,6 +321,7 @@
     if (!exchange->is_connection_reused)
       return Finish(id, HttpError::kConnectionClosed);
     Close(*connection);
+    if (options_.on_repeat) options_.on_repeat(exchange->request);
     Connect(id, *exchange);
   }
 
--- a/libs/jobserver/src/order_sender.cc
+++ b/libs/jobserver/src/order_sender.cc
@@ -23,7 +23,7 @@
             : link->order_deadline_ms();
     if (!deadline) {
       hooks_.on_start_settled(order, true);
-      return hooks_.on_start_result(order, StartOutcome::kUnhealthy, 0);
+      return hooks_.on_start_result(order, StartOutcome::kNotSent, 0);
     }
     const StartRequest request{.key = order.key,
                                .run = order.run,
--- a/libs/jobserver/src/order_sender.h
+++ b/libs/jobserver/src/order_sender.h
@@ -41,7 +41,7 @@
   OrderSender(const OrderSender&) = delete;
   OrderSender& operator=(const OrderSender&) = delete;
 
-  /// The result is kUnhealthy when the order may not be sent now.
+  /// The result is kNotSent when the order may not be sent now.
   void Send(const StartOrder& order);
   /// Has no effect, and no result, when the worker has no link or is lost.
   void Send(const StopOrder& order);
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -492,7 +492,7 @@
           done({StartOutcome::kUnknown, 0});
         },
         [done] {
-          done({StartOutcome::kUnhealthy, 0});
+          done({StartOutcome::kNotSent, 0});
         });
   };
   calls.stop = [=, this](
