Write a request with effects once, and repeat it where its answers are known

Callers saw a task run on two workers at a time (TWICE), and a submission run that every attempt to hand in had been answered 503 (REFUSED).

Cause: PersistentHttpClient sent a POST again by itself when a reused connection ended before the response, and handed on the answer to the second copy alone. 429, 503, "late", "room", 400 and 421 mean that this copy did nothing; the first one may have been carried out.

Fix: the client repeats a GET, and a request of which no byte was written; anything else ends with kConnectionClosed, that is, with an unknown outcome. Before it reuses a connection it looks whether the peer has ended it. The owner repeats a start, a stop or a renewal at once when its connection ended and counts the first copy as unanswered; the other callers repeat as after a timeout.

--- a/libs/http/include/pomelomill/http/http_message.h
+++ b/libs/http/include/pomelomill/http/http_message.h
@@ -31,9 +31,9 @@
   /// From the call to the complete response.
   Duration timeout = std::chrono::seconds(5);
   Duration connect_timeout = std::chrono::seconds(1);
-  /// The clients send a request again by themselves, also a POST, when a reused
-  /// connection dies before the first response byte. A request that must not
-  /// be repeated sets this.
+  /// HttpClient sends a request again by itself, also a POST, when a reused
+  /// connection dies before the first response byte; PersistentHttpClient only
+  /// a GET. A request that must not be repeated sets this.
   bool use_fresh_connection = false;
   std::size_t max_response_bytes = std::size_t{8} << 20;
 };
--- a/libs/http/include/pomelomill/http/persistent_http_client.h
+++ b/libs/http/include/pomelomill/http/persistent_http_client.h
@@ -25,8 +25,10 @@
 /// one write and one read. Only addresses in figures are understood; there is
 /// no proxy, no redirect and no HEAD.
 ///
-/// Like libcurl, sends a request once more on a new connection when a reused
-/// one is closed before the first byte of the response.
+/// A request is written at most once, so that the result is that of its only
+/// copy. There are two exceptions, for which a new connection is opened when a
+/// reused one ends before the first byte of the response: a GET, which has no
+/// effects, and a request of which no byte was written.
 class PersistentHttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
--- a/libs/http/src/persistent_http_client.cc
+++ b/libs/http/src/persistent_http_client.cc
@@ -138,6 +138,14 @@
   Clock::time_point deadline{};
   bool is_connection_reused = false;
   bool may_have_been_sent = false;
+
+  /// Whether the client may send the request again by itself after a reused
+  /// connection has ended. Only the caller knows what an answer to a second
+  /// copy of a request with effects says about the first one.
+  bool may_be_repeated() const {
+    return is_connection_reused &&
+           (!may_have_been_sent || request.method == "GET");
+  }
 };
 
 }  // namespace
@@ -163,7 +171,7 @@
     exchange.ends_at = Clock::now() + exchange.request.timeout;
     SetDeadline(id, exchange, exchange.ends_at);
     if (!exchange.request.use_fresh_connection) {
-      if (ConnectionPtr idle = TakeIdle(exchange.target.authority)) {
+      if (ConnectionPtr idle = TakeIdle(id, exchange.target.authority)) {
         exchange.is_connection_reused = true;
         exchange.connection = std::move(idle);
         return WriteRequest(id, exchange);
@@ -194,11 +202,23 @@
     return it == exchanges_.end() || is_stopped_ ? nullptr : &it->second;
   }
 
-  ConnectionPtr TakeIdle(const std::string& authority) {
+  ConnectionPtr TakeIdle(ExchangeId id, const std::string& authority) {
     const auto it = idle_.find(authority);
     if (it == idle_.end()) return nullptr;
-    ConnectionPtr connection = std::move(it->second.back());
-    it->second.pop_back();
+    ConnectionPtr connection;
+    while (connection == nullptr && !it->second.empty()) {
+      connection = std::move(it->second.back());
+      it->second.pop_back();
+      std::error_code ec;
+      connection->socket.receive(asio::buffer(read_buffer_),
+                                 tcp::socket::message_peek, ec);
+      if (ec == asio::error::would_block) continue;
+      // The event loop has not come to the end of this connection yet.
+      if (ec == asio::error::eof && !IsInUse(authority, id))
+        closed_by_peer_.insert(authority);
+      Close(*connection);
+      connection.reset();
+    }
     if (it->second.empty()) idle_.erase(it);
     return connection;
   }
@@ -248,11 +268,12 @@
     const ConnectionPtr connection = exchange.connection;
     connection->exchange = id;
     connection->reader.Begin(exchange.request.max_response_bytes);
-    exchange.may_have_been_sent = true;
     std::error_code ec;
     const std::size_t n =
         connection->socket.write_some(asio::buffer(exchange.text), ec);
-    if (ec && ec != asio::error::would_block) {
+    const bool has_failed = ec && ec != asio::error::would_block;
+    exchange.may_have_been_sent |= !has_failed;
+    if (has_failed) {
       asio::post(context_, [self = shared_from_this(), id, connection] {
         self->OnConnectionEnd(id, connection);
       });
@@ -305,12 +326,12 @@
     }
   }
 
-  /// Whether an exchange with the peer is under way.
-  bool IsInUse(const std::string& authority) const {
-    return std::any_of(exchanges_.begin(), exchanges_.end(),
-                       [&](const auto& it) {
-                         return it.second.target.authority == authority;
-                       });
+  /// Whether another exchange with the peer than `except` is under way.
+  bool IsInUse(const std::string& authority, ExchangeId except = 0) const {
+    return std::any_of(
+        exchanges_.begin(), exchanges_.end(), [&](const auto& it) {
+          return it.first != except && it.second.target.authority == authority;
+        });
   }
 
   void OnConnectionEnd(ExchangeId id, const ConnectionPtr& connection) {
@@ -318,7 +339,7 @@
     if (exchange == nullptr || exchange->connection != connection) return;
     if (connection->reader.has_begun())
       return Finish(id, HttpError::kTruncated);
-    if (!exchange->is_connection_reused)
+    if (!exchange->may_be_repeated())
       return Finish(id, HttpError::kConnectionClosed);
     Close(*connection);
     if (options_.on_repeat) options_.on_repeat(exchange->request);
--- a/libs/jobserver/include/pomelomill/jobserver/worker_calls.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_calls.h
@@ -45,6 +45,9 @@
   StartOutcome outcome = StartOutcome::kUnknown;
   /// The worker's clock when it handled the request; 0 when unknown.
   std::int64_t clock_ms = 0;
+  /// With kUnknown: the connection ended without an answer, and another one can
+  /// be opened at once.
+  bool has_connection_ended = false;
 };
 
 /// Renews the lease of a worker's tasks and polls for its report.
@@ -65,7 +68,7 @@
   /// The connection was refused: the worker's process has ended, or a partition
   /// refuses connections to it.
   kConnectionRefused = 1,
-  /// The call timed out or its connection broke; it may have taken effect.
+  /// The call timed out; it may have taken effect.
   kNoResponse,
   /// The receiver has seen a higher fencing token.
   kFenced,
@@ -76,12 +79,13 @@
   /// refuse it.
   kUnreachable,
   /// As kConnectionRefused, after the worker's machine closed a connection in
-  /// an
-  /// orderly way: its process has ended.
+  /// an orderly way: its process has ended.
   kProcessEnded,
   /// This process could not open a connection, for example for lack of file
   /// descriptors. Says nothing about the worker.
   kNotSent,
+  /// The connection ended before the response; the call may have taken effect.
+  kConnectionEnded,
 };
 
 /// Category of the error codes made from WorkerError.
@@ -91,6 +95,12 @@
   return {static_cast<int>(e), WorkerCategory()};
 }
 
+/// Whether the call was sent and its outcome is unknown.
+inline bool IsOutcomeUnknown(std::error_code ec) {
+  return ec == make_error_code(WorkerError::kNoResponse) ||
+         ec == make_error_code(WorkerError::kConnectionEnded);
+}
+
 /// Calls on a worker. Each call runs its callback exactly once, after the call
 /// has returned.
 struct WorkerCalls {
--- a/libs/jobserver/src/order_repeater.h
+++ b/libs/jobserver/src/order_repeater.h
@@ -28,7 +28,7 @@
 /// answers or carry orders out seconds late: without a repeat, each task whose
 /// start is lost waits for the call's timeout, a stop, and the report that the
 /// run is not there. On an overloaded link all answers are late, and nothing is
-/// repeated.
+/// repeated. An order whose connection ends is sent again once, at once.
 class OrderRepeater {
  public:
   OrderRepeater(const WorkerCalls& calls, TimerService& timers,
--- a/libs/jobserver/src/worker_error.cc
+++ b/libs/jobserver/src/worker_error.cc
@@ -26,6 +26,8 @@
         return "no connection to the worker could be established";
       case WorkerError::kNotSent:
         return "this process could not open a connection to the worker";
+      case WorkerError::kConnectionEnded:
+        return "the connection ended before the worker responded";
     }
     return "unknown worker error";
   }
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -205,7 +205,7 @@
     const bool is_stale = timers_.Now() > stale_from;
     if (is_stale && !is_unresponsive_ && !is_outcome_stale_ &&
         timers_.Now() <= lease_expires_at_ &&
-        (result || result.error() == WorkerError::kNoResponse)) {
+        (result || IsOutcomeUnknown(result.error()))) {
       is_outcome_stale_ = true;
       return SendRenewal();
     }
@@ -279,8 +279,12 @@
     is_outcome_stale_ = false;
     no_orders_since_answered_request_ = false;
     if (ec == WorkerError::kFenced) return hooks_.on_fenced();
-    if (!std::exchange(is_unresponsive_, true)) hooks_.on_unresponsive(ec);
+    const bool is_first = !std::exchange(is_unresponsive_, true);
+    if (is_first) hooks_.on_unresponsive(ec);
     if (is_halted_) return;
+    // A new connection may be all that is needed.
+    if (is_first && ec == WorkerError::kConnectionEnded)
+      return RenewAfter(Duration(0));
     if (ec == WorkerError::kOtherIncarnation)
       return MarkLost(WorkerLoss::kOtherIncarnation);
     const bool is_refused = ec == WorkerError::kConnectionRefused ||
--- a/libs/jobserver/test/order_repeater_test.cc
+++ b/libs/jobserver/test/order_repeater_test.cc
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,7 +20,8 @@
 constexpr Duration kCallTimeout = milliseconds(800);
 
 /// A worker whose answers the test scripts: each call takes the next outcome,
-/// and kUnknown is answered after the timeout of the call.
+/// and kUnknown is answered after the timeout of the call. The connections of
+/// `broken_calls` end after the time that an answer takes.
 class Fixture {
  public:
   explicit Fixture(std::vector<StartOutcome> outcomes)
@@ -28,6 +30,12 @@
                           std::function<void(StartResponse)> done) {
       sent_at.push_back(timers.Now() - Instant{});
       runs.push_back(request.run);
+      if (IsBroken()) {
+        timers.ScheduleAfter(answer_time_, [done = std::move(done)] {
+          done({.has_connection_ended = true});
+        });
+        return;
+      }
       const StartOutcome outcome = Next();
       timers.ScheduleAfter(
           outcome == StartOutcome::kUnknown ? kCallTimeout : answer_time_,
@@ -39,6 +47,12 @@
                          FencingToken,
                          std::function<void(Result<std::int64_t>)> done) {
       sent_at.push_back(timers.Now() - Instant{});
+      if (IsBroken()) {
+        timers.ScheduleAfter(answer_time_, [done = std::move(done)] {
+          done(tl::unexpected(make_error_code(WorkerError::kConnectionEnded)));
+        });
+        return;
+      }
       const bool is_answered = Next() == StartOutcome::kStarted;
       timers.ScheduleAfter(
           is_answered ? milliseconds(3) : kCallTimeout,
@@ -77,6 +91,8 @@
 
   VirtualTimerService timers;
   bool may_send = true;
+  /// Numbers of calls, from 0.
+  std::set<std::size_t> broken_calls;
   std::vector<Duration> sent_at;
   std::vector<std::uint32_t> runs;
   std::vector<StartOutcome> results;
@@ -85,6 +101,8 @@
   std::optional<OrderRepeater> repeater_;
 
  private:
+  bool IsBroken() const { return broken_calls.contains(sent_at.size() - 1); }
+
   StartOutcome Next() {
     const StartOutcome it =
         outcomes_.empty() ? StartOutcome::kUnknown : outcomes_.front();
@@ -137,6 +155,58 @@
   CHECK(it.settled == std::vector{false});
 }
 
+// Guards against a stop and a second run of a task for each connection that a
+// worker or the network ends.
+TEST_CASE("an order whose connection ended is sent again at once") {
+  Fixture it({StartOutcome::kStarted});
+  it.broken_calls = {0};
+  it.Start();
+  it.timers.Advance(milliseconds(20));
+  CHECK(it.runs == std::vector<std::uint32_t>{7, 7});
+  CHECK(it.results == std::vector{StartOutcome::kStarted});
+  CHECK(it.settled == std::vector{false});
+}
+
+// Guards against TWICE: the first copy was carried out and lost its answer, and
+// the refusal of the second one says that nothing was done.
+TEST_CASE(
+    "a refusal after a connection that ended leaves the outcome unknown") {
+  for (const StartOutcome refusal :
+       {StartOutcome::kUnhealthy, StartOutcome::kNoRoom,
+        StartOutcome::kDeadlinePassed, StartOutcome::kRejected,
+        StartOutcome::kOtherIncarnation, StartOutcome::kStaleRun,
+        StartOutcome::kNotSent, StartOutcome::kNoTicket}) {
+    CAPTURE(ToText(refusal));
+    Fixture it({refusal});
+    it.broken_calls = {0};
+    it.Start();
+    it.timers.Advance(seconds(3));
+    CHECK(it.sent_at.size() == 2);
+    CHECK(it.results == std::vector{StartOutcome::kUnknown});
+    CHECK(it.settled == std::vector{false});
+  }
+}
+
+// Guards against a stream of copies to a worker that ends each connection.
+TEST_CASE("an order is sent again at once only for its first connection") {
+  Fixture it({});
+  it.broken_calls = {0, 1, 2, 3, 4};
+  it.Start();
+  it.timers.Advance(seconds(3));
+  CHECK(it.sent_at.size() == 2);
+  CHECK(it.results == std::vector{StartOutcome::kUnknown});
+  it.sent_at.clear();
+  std::vector<bool> results;
+  it.repeater_->Stop(
+      {WorkerId("w"), "w:1"}, {}, 7, FencingToken(1), [] { return true; },
+      [&](const Result<std::int64_t>& result) {
+        results.push_back(result.has_value());
+      });
+  it.timers.Advance(seconds(3));
+  CHECK(it.sent_at.size() == 2);
+  CHECK(results == std::vector{false});
+}
+
 // Guards against an order that is sent after the lease of the owner's role has
 // expired.
 TEST_CASE("an order is not repeated without the right to send it") {
@@ -147,6 +217,11 @@
   it.timers.Advance(seconds(3));
   CHECK(it.sent_at.size() == 1);
   CHECK(it.results == std::vector{StartOutcome::kUnknown});
+  it.sent_at.clear();
+  it.broken_calls = {0};
+  it.Start();
+  it.timers.Advance(seconds(3));
+  CHECK(it.sent_at.size() == 1);
 }
 
 // Replays a link that is full: answers take hundreds of milliseconds, and each
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -436,6 +436,32 @@
   CHECK(fixture.link->token() == FencingToken(5));
 }
 
+// Guards against a worker that gets no tasks, or whose end is noticed late,
+// because one connection ended; and against a deadline that its owner does not
+// count.
+TEST_CASE("a renewal whose connection ended is sent again at once") {
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  fixture.Fail(WorkerError::kConnectionEnded);
+  fixture.timers.Advance(milliseconds(1));
+  REQUIRE(fixture.sent.size() == 3);
+  CHECK(fixture.sent.back().max_wait == Duration(0));
+  CHECK_FALSE(fixture.sent.back().deadline_ms);
+  SUBCASE("the worker responds") {
+    fixture.Answer(1010);
+    CHECK(fixture.link->may_start());
+    CHECK(fixture.sent.back().deadline_ms);
+  }
+  SUBCASE("further connections end, too") {
+    fixture.Fail(WorkerError::kConnectionEnded);
+    fixture.timers.Advance(milliseconds(50));
+    CHECK(fixture.sent.size() == 3);
+    fixture.timers.Advance(milliseconds(60));
+    CHECK(fixture.sent.size() == 4);
+  }
+  CHECK(fixture.lost_count == 0);
+}
+
 TEST_CASE("a call without a response is followed by a higher token") {
   LinkFixture fixture;
   fixture.Answer(1000);
