Send a renewal at once only once in a retry delay

worker_link_test, "renewals are sent at once only once in a retry delay", failed before (5 renewals in place of 4).

--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -283,8 +283,11 @@
     if (is_first) hooks_.on_unresponsive(ec);
     if (is_halted_) return;
     // A new connection may be all that is needed.
-    if (is_first && ec == WorkerError::kConnectionEnded)
+    if (is_first && ec == WorkerError::kConnectionEnded &&
+        timers_.Now() >= may_reconnect_at_) {
+      may_reconnect_at_ = timers_.Now() + options_.retry_delay;
       return RenewAfter(Duration(0));
+    }
     if (ec == WorkerError::kOtherIncarnation)
       return MarkLost(WorkerLoss::kOtherIncarnation);
     const bool is_refused = ec == WorkerError::kConnectionRefused ||
@@ -357,6 +360,8 @@
   std::int64_t latest_deadline_ms_ = 0;
   /// The worker's lease has certainly expired after this time.
   Instant lease_expires_at_{};
+  /// From then on a renewal may be sent at once when a connection has ended.
+  Instant may_reconnect_at_{};
   /// Consecutive refused connections.
   std::uint32_t refusals_ = 0;
   /// The worker has responded to a renewal of this link.
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -462,6 +462,22 @@
   CHECK(fixture.lost_count == 0);
 }
 
+// Guards against renewals without a pause to a worker that ends each long poll
+// and answers the call after it.
+TEST_CASE("renewals are sent at once only once in a retry delay") {
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  fixture.Fail(WorkerError::kConnectionEnded);
+  fixture.timers.Advance(milliseconds(1));
+  fixture.Answer(1001);
+  REQUIRE(fixture.sent.size() == 4);
+  fixture.Fail(WorkerError::kConnectionEnded);
+  fixture.timers.Advance(milliseconds(50));
+  CHECK(fixture.sent.size() == 4);
+  fixture.timers.Advance(milliseconds(60));
+  CHECK(fixture.sent.size() == 5);
+}
+
 TEST_CASE("a call without a response is followed by a higher token") {
   LinkFixture fixture;
   fixture.Answer(1000);
