Do not reuse a connection on which a request is still being written

A response that came before the peer had read the whole request left the connection idle while the rest was being written, and the next request went into the middle of the first body.

http_client_test, "a connection on which a request is being written is not used again", failed before. "a request with effects is written once" also sends bodies that fit into no socket buffer, since the review's mutation that takes a request written in part for one not sent passed all tests.

--- a/libs/http/src/persistent_http_client.cc
+++ b/libs/http/src/persistent_http_client.cc
@@ -95,6 +95,8 @@
   /// The exchange that the connection carries; 0 while it is idle.
   ExchangeId exchange = 0;
   bool is_waiting_for_bytes = false;
+  /// A part of the request is still to be written.
+  bool is_writing = false;
   bool is_closed = false;
 };
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -283,9 +285,11 @@
     if (n == exchange.text.size()) return;
     // A copy, which outlives an exchange that ends early.
     auto rest = std::make_shared<std::string>(exchange.text.substr(n));
+    connection->is_writing = true;
     asio::async_write(connection->socket, asio::buffer(*rest),
                       [self = shared_from_this(), id, connection, rest](
                           std::error_code result, std::size_t) {
+                        connection->is_writing = false;
                         if (result) self->OnConnectionEnd(id, connection);
                       });
   }
@@ -353,7 +357,7 @@
     HttpResult result;
     result.response = connection->reader.TakeResponse();
     closed_by_peer_.erase(connection->authority);
-    if (connection->reader.keeps_connection() &&
+    if (connection->reader.keeps_connection() && !connection->is_writing &&
         !exchange.request.use_fresh_connection) {
       KeepIdle(connection);
     } else {
--- a/libs/http/test/http_client_test.cc
+++ b/libs/http/test/http_client_test.cc
@@ -107,6 +107,9 @@
 constexpr char kOk[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\nok";
 
+/// More than the buffers of both sockets hold.
+constexpr std::size_t kLargeBodyBytes = std::size_t{16} << 20;
+
 /// Both clients keep the same promises.
 #define CLIENTS HttpClient, PersistentHttpClient
 
@@ -359,6 +362,9 @@
 // Guards against TWICE and REFUSED: a second copy of a request with effects is
 // refused, and its sender takes the refusal for the outcome of the first.
 TEST_CASE("a request with effects is written once") {
+  std::size_t body_size = 1;
+  SUBCASE("as a whole") {}
+  SUBCASE("in part") { body_size = kLargeBodyBytes; }
   for (const std::string method : {"POST", "PUT", "DELETE"}) {
     for (const bool is_reset : {false, true}) {
       CAPTURE(method);
@@ -370,9 +376,10 @@
                     {"HTTP/1.1 503 Unhealthy\r\nContent-Length: 0\r\n\r\n"}});
       PersistentHttpClient client(context);
       Exchange(context, client, {.url = server.url()});
-      const HttpResult r =
-          Exchange(context, client,
-                   {.method = method, .url = server.url(), .body = "x"});
+      const HttpResult r = Exchange(context, client,
+                                    {.method = method,
+                                     .url = server.url(),
+                                     .body = std::string(body_size, 'x')});
       CHECK(r.error == HttpError::kConnectionClosed);
       CHECK(r.may_have_been_sent);
       CHECK(server.heads().size() == 2);
@@ -380,6 +387,22 @@
   }
 }
 
+// Guards against a request that is written into the body of the one before it,
+// whose response came before the peer had read it all.
+TEST_CASE(
+    "a connection on which a request is being written is not used again") {
+  asio::io_context context;
+  ScriptedServer server(context, {{kOk}, {kOk}});
+  PersistentHttpClient client(context);
+  const HttpRequest large = {.method = "POST",
+                             .url = server.url(),
+                             .body = std::string(kLargeBodyBytes, 'x')};
+  CHECK_FALSE(Exchange(context, client, large).error);
+  CHECK_FALSE(
+      Exchange(context, client, {.method = "POST", .url = server.url()}).error);
+  CHECK(server.connections() == 2);
+}
+
 // Guards against unknown outcomes of calls that never left: peers close idle
 // connections as they like.
 TEST_CASE("an idle connection that has ended carries no request") {
