Do not cancel a move of a VM of which a copy may be carried out

A move without an answer was sent again at once; when that copy was answered busy, the VM's worker was reopened and got tasks, which the first copy ends when it is carried out (AVAIL, work thrown away).

A relocation with an unanswered copy stays closed, is not redirected and is repeated each 100 ms until a copy is accepted, the list shows the VM moved, or no copy can be carried out any more (13 s).

pool_sizer_test, "a move that may have been carried out is not cancelled", failed before: workers were reopened 14 times within 13 s.

--- a/libs/fleet/include/pomelomill/fleet/pool_sizer.h
+++ b/libs/fleet/include/pomelomill/fleet/pool_sizer.h
@@ -58,6 +58,10 @@
   /// half of all VMs within seconds, and VMs that were closed for the peak
   /// before it still count when it begins.
   double max_relocating_share = 0.7;
+  /// Pause before an unanswered move is sent again.
+  Duration move_retry_delay = std::chrono::milliseconds(100);
+  /// A move that got no answer may be carried out for this long.
+  Duration late_move_lifetime = std::chrono::seconds(13);
 };
 
 /// Actions that `PoolSizer` wants carried out.
@@ -123,6 +127,9 @@
     Instant since{};
     /// The platform has answered that it does not move the VM now.
     bool is_refused = false;
+    Instant retry_at{};
+    /// A copy of the move that got no answer may be carried out until then.
+    Instant open_until{};
   };
 
   struct DemandHistory {
@@ -170,7 +177,7 @@
   void AdvanceRelocations(Instant now, SizePlan& plan);
   /// Redirects closed VMs whose target pool now has enough VMs to another pool,
   /// or reopens their workers.
-  void RedirectRelocations(Snapshot& snapshot, SizePlan& plan);
+  void RedirectRelocations(Instant now, Snapshot& snapshot, SizePlan& plan);
   /// The pool with the smallest ratio of VMs to required VMs, so that a new
   /// peak goes before the headroom of a lasting one; null when no pool has too
   /// few VMs.
--- a/libs/fleet/src/pool_sizer.cc
+++ b/libs/fleet/src/pool_sizer.cc
@@ -91,8 +91,17 @@
       // The call is repeated, which is safe: the platform accepts it without a
       // second move if the first call took effect.
       it->second.stage = Stage::kClosing;
+      it->second.retry_at = now + options_.move_retry_delay;
+      it->second.open_until = now + options_.late_move_lifetime;
       break;
     case VmCallOutcome::kBusy:
+      if (now < it->second.open_until) {
+        // Says nothing about the copy that got no answer.
+        it->second.stage = Stage::kClosing;
+        it->second.retry_at = now + options_.move_retry_delay;
+        break;
+      }
+      [[fallthrough]];
     case VmCallOutcome::kRefused:
       it->second.stage = Stage::kClosing;
       it->second.is_refused = true;
@@ -231,12 +240,14 @@
   for (auto it = relocations_.begin(); it != relocations_.end();) {
     auto& [id, relocation] = *it;
     if (relocation.stage == Stage::kClosing && !relocation.is_refused &&
+        now >= relocation.retry_at &&
         (emptied_workers_.contains(relocation.worker) ||
          spare_pools_.contains(relocation.from))) {
       relocation.stage = Stage::kRequested;
       plan.moves.push_back({id, relocation.to});
     }
     const bool is_cancelled = relocation.stage == Stage::kClosing &&
+                              now >= relocation.open_until &&
                               (relocation.is_refused ||
                                now - relocation.since > options_.close_timeout);
     if (is_cancelled) {
@@ -262,13 +273,14 @@
   return lowest;
 }
 
-void PoolSizer::RedirectRelocations(Snapshot& snapshot, SizePlan& plan) {
+void PoolSizer::RedirectRelocations(Instant now, Snapshot& snapshot,
+                                    SizePlan& plan) {
   for (auto it = relocations_.begin(); it != relocations_.end();) {
     auto& [id, relocation] = *it;
     PoolCapacity& to = snapshot.pools[relocation.to];
     const PoolId* const recipient = FindMostUnderprovisioned(snapshot);
-    if (relocation.stage != Stage::kClosing || !to.required ||
-        to.vm_count <= *to.required || recipient == nullptr) {
+    if (relocation.stage != Stage::kClosing || now < relocation.open_until ||
+        !to.required || to.vm_count <= *to.required || recipient == nullptr) {
       ++it;
       continue;
     }
@@ -320,7 +332,7 @@
   SizePlan plan;
   AdvanceRelocations(now, plan);
   Snapshot snapshot = TakeSnapshot(now);
-  RedirectRelocations(snapshot, plan);
+  RedirectRelocations(now, snapshot, plan);
   PlanGrowth(now, snapshot, plan);
   PlanParking(now, snapshot, plan);
   plan.examined = snapshot.examined;
