Act out calls to workers that end without an answer, and rejected copies

The stand-in of the workers let an order be late or unsent, and a renewal only be cut.

WorkerFaults has three more shares, 0 by default; no number is drawn for a share of 0, so the sequences of the seeded tests stay. ended_share: the connection of a start, stop or renewal ends, and the call is carried out at once, later (also by the next incarnation) or never. late_renewal_share: as late_share, for renewals. rejected_share: a start is rejected as unhealthy (nothing is done), for its deadline (the token is taken) or for lack of room (the deadline too).

--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
@@ -25,6 +25,16 @@
   /// Share of the calls that the process cannot send although the worker lives,
   /// for instance because it has no descriptor left.
   double unsent_share = 0;
+  /// Share of the calls of any kind whose connection ends without an answer.
+  /// Each of these calls is carried out at once, or at most `late` later by the
+  /// incarnation of the worker that runs then, or never.
+  double ended_share = 0;
+  /// Share of the renewals that get no answer and are carried out `late` later,
+  /// as orders are by `late_share`.
+  double late_renewal_share = 0;
+  /// Share of the starts that the worker rejects as unhealthy, for lack of room
+  /// or because of their deadline, whether or not another copy was carried out.
+  double rejected_share = 0;
 };
 
 /// One run of a task, as the worker saw it.
@@ -108,6 +118,12 @@
   /// Late orders that were carried out by a later incarnation than the one to
   /// which they were sent.
   int late_orders_in_next_life() const { return late_orders_in_next_life_; }
+  /// Calls whose connection ended and that were carried out nevertheless.
+  int carried_out_unanswered() const { return carried_out_unanswered_; }
+  /// Renewals that were carried out late.
+  int late_renewals() const { return late_renewals_; }
+  /// Starts that were rejected while a copy of them was running.
+  int rejected_copies() const { return rejected_copies_; }
   /// Sizes by which capacity is checked.
   void SetSize(const JobId& job, const TaskSize& size) { sizes_[job] = size; }
   /// The tasks of the step run until they are stopped. At most
@@ -162,7 +178,16 @@
   Result<std::int64_t> Stop(Worker& worker, const TaskKey& key,
                             std::uint32_t run, FencingToken token,
                             bool is_late);
-  Result<WorkerReport> Renew(Worker& worker, const RenewRequest& call);
+  Result<WorkerReport> Renew(Worker& worker, const RenewRequest& call,
+                             bool is_late);
+  /// The worker's answer to a start that it rejects without a reason that it
+  /// always has; nothing for the other starts.
+  std::optional<StartResponse> RejectSome(Worker& worker,
+                                          const StartRequest& call,
+                                          double share);
+  /// Carries out a call whose connection has ended, unless it is lost.
+  void CarryOutUnanswered(const WorkerAddress& address, Duration longest_delay,
+                          std::function<void(Worker&, bool is_late)> call);
   void End(Worker& worker, const TaskKey& key, RunOutcome outcome);
   void EndLife(const WorkerId& worker, bool is_by_order);
   void Acknowledge(RunRecord& record);
@@ -181,6 +206,9 @@
   void Violate(const std::string& text);
 
   int late_orders_in_next_life_ = 0;
+  int carried_out_unanswered_ = 0;
+  int late_renewals_ = 0;
+  int rejected_copies_ = 0;
   TimerService& timers_;
   Random& random_;
   Options options_;
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -6,9 +6,6 @@
 namespace pomelomill {
 namespace {
 
-constexpr Duration kLatency = std::chrono::milliseconds(1);
-constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
-constexpr Duration kPollStep = std::chrono::milliseconds(20);
 constexpr Duration kLeaseCheck = std::chrono::milliseconds(2);
 /// `noticeMs` and `cancel_ms` of the platform.
 constexpr Duration kNoticeTime = std::chrono::milliseconds(4500);
@@ -178,7 +175,8 @@
         ClockMs(worker) < ToMillis(kFirstCallDelay))
       return;
     what += " by a late order " + std::to_string(ClockMs(worker)) +
-            " ms after the worker's start";
+            " ms after the worker's start" +
+            (worker.was_called ? "" : ", before its first call");
   }
   for (const RunRecord& it : runs_) {
     if (it.key != key) continue;
@@ -318,6 +316,35 @@
   return {StartOutcome::kStarted, clock};
 }
 
+std::optional<StartResponse> FakeWorkers::RejectSome(Worker& worker,
+                                                     const StartRequest& call,
+                                                     double share) {
+  if (share <= 0 || !random_.Chance(share)) return std::nullopt;
+  CheckLease(worker);
+  const std::int64_t clock = ClockMs(worker);
+  const auto running = worker.running.find(call.key);
+  const bool is_there =
+      running != worker.running.end() && running->second.run == call.run;
+  const auto highest = worker.highest_ended.find(call.key);
+  const bool has_ended =
+      highest != worker.highest_ended.end() && highest->second >= call.run;
+  // No worker lacks the room for a run that is there.
+  const std::uint64_t reasons = is_there || has_ended ? 2 : 3;
+  const std::uint64_t reason = random_.Below(reasons);
+  // An unhealthy worker does nothing, not even look at the token.
+  if (reason != 0) {
+    if (call.token.value() < worker.token)
+      return StartResponse{StartOutcome::kFenced, clock};
+    worker.token = call.token.value();
+    worker.was_called = true;
+  }
+  rejected_copies_ += is_there;
+  if (reason == 0) return StartResponse{StartOutcome::kUnhealthy, 0};
+  if (reason == 1) return StartResponse{StartOutcome::kDeadlinePassed, clock};
+  Extend(worker, call.deadline_ms);
+  return StartResponse{StartOutcome::kNoRoom, clock};
+}
+
 Result<std::int64_t> FakeWorkers::Stop(Worker& worker, const TaskKey& key,
                                        std::uint32_t run, FencingToken token,
                                        bool is_late) {
@@ -346,9 +373,11 @@
 }
 
 Result<WorkerReport> FakeWorkers::Renew(Worker& worker,
-                                        const RenewRequest& call) {
+                                        const RenewRequest& call,
+                                        bool is_late) {
   CheckLease(worker);
-  worker.was_called = true;
+  worker.was_called |= !is_late;
+  late_renewals_ += is_late;
   if (call.token.value() < worker.token)
     return Unexpected(WorkerError::kFenced);
   worker.token = call.token.value();
@@ -404,149 +433,4 @@
       .number = number, .key = key, .run = run.run, .outcome = outcome};
 }
 
-void FakeWorkers::Watch(const WorkerAddress& address, RenewRequest call,
-                        std::uint64_t life, Instant until,
-                        std::function<void(Result<WorkerReport>)> answer) {
-  const auto it = workers_.find(address.address);
-  if (it == workers_.end() || !it->second.is_up)
-    return answer(Unexpected(WorkerError::kProcessEnded));
-  // The connection of a waiting call ends with the process.
-  if (life != 0 && it->second.life + 1 != life)
-    return answer(Unexpected(WorkerError::kNoResponse));
-  auto report = Renew(it->second, call);
-  const bool is_over =
-      !report || !report->ended.empty() || timers_.Now() >= until;
-  if (is_over) return answer(std::move(report));
-  call.deadline_ms.reset();
-  timers_.ScheduleAfter(
-      kPollStep, [this, address, call, until, waited_for = it->second.life + 1,
-                  answer = std::move(answer)] {
-        Watch(address, call, waited_for, until, answer);
-      });
-}
-
-WorkerCalls FakeWorkers::Calls(TimerService& client_timers,
-                               const WorkerFaults& faults) {
-  TimerService* const timers = &client_timers;
-  const WorkerFaults* const fault = &faults;
-  const auto is_cut = [this, fault](const WorkerAddress& address) {
-    const auto it = workers_.find(address.address);
-    return fault->is_cut || (it != workers_.end() && it->second.is_cut);
-  };
-  const auto fails = [this, fault] {
-    return fault->unsent_share > 0 && random_.Chance(fault->unsent_share);
-  };
-  const auto is_refusing = [this](const WorkerAddress& address) {
-    const auto it = workers_.find(address.address);
-    return it != workers_.end() && it->second.is_refusing;
-  };
-  /// Runs `order` there, with its answer or without one.
-  const auto send =
-      [=, this](const WorkerAddress& address,
-                std::function<std::function<void()>(Worker&, bool)> order,
-                std::function<void()> unanswered,
-                std::function<void()> refused) {
-        if (is_cut(address)) {
-          timers->ScheduleAfter(kCallTimeout, std::move(unanswered));
-          return;
-        }
-        const auto target = workers_.find(address.address);
-        const std::uint64_t life =
-            target == workers_.end() ? 0 : target->second.life;
-        if ((target != workers_.end() && !target->second.is_up) ||
-            is_refusing(address) || fails()) {
-          timers->ScheduleAfter(kLatency, std::move(refused));
-          return;
-        }
-        const bool is_late = random_.Chance(fault->late_share);
-        if (is_late) timers->ScheduleAfter(kCallTimeout, std::move(unanswered));
-        timers_.ScheduleAfter(
-            kLatency + (is_late ? fault->late : Duration(0)),
-            [=, this, order = std::move(order), refused = std::move(refused)] {
-              const auto it = workers_.find(address.address);
-              // The id that a late order names is that of both incarnations.
-              if (it == workers_.end() || !it->second.is_up ||
-                  (it->second.life != life && !is_late)) {
-                if (!is_late) timers->ScheduleAfter(kLatency, refused);
-                return;
-              }
-              if (it->second.life != life) ++late_orders_in_next_life_;
-              auto answer = order(it->second, is_late);
-              if (!is_late) timers->ScheduleAfter(kLatency, std::move(answer));
-            });
-      };
-  WorkerCalls calls;
-  calls.start = [=, this](const WorkerAddress& address,
-                          const StartRequest& call,
-                          const std::function<void(StartResponse)>& done) {
-    StartRequest copy = call;
-    copy.payload = nullptr;
-    send(
-        address,
-        [this, copy, done](Worker& worker,
-                           bool is_late) -> std::function<void()> {
-          const StartResponse answer = Start(worker, copy, is_late);
-          return [done, answer] { done(answer); };
-        },
-        [done] {
-          done({StartOutcome::kUnknown, 0});
-        },
-        [done] {
-          done({StartOutcome::kNotSent, 0});
-        });
-  };
-  calls.stop = [=, this](
-                   const WorkerAddress& address, const TaskKey& key,
-                   std::uint32_t run, FencingToken token,
-                   const std::function<void(Result<std::int64_t>)>& done) {
-    send(
-        address,
-        [this, key, run, token, done](Worker& worker,
-                                      bool is_late) -> std::function<void()> {
-          const auto answer = Stop(worker, key, run, token, is_late);
-          return [done, answer] { done(answer); };
-        },
-        [done] { done(Unexpected(WorkerError::kNoResponse)); },
-        [done] { done(Unexpected(WorkerError::kProcessEnded)); });
-  };
-  calls.renew = [=, this](
-                    const WorkerAddress& address, const RenewRequest& call,
-                    const std::function<void(Result<WorkerReport>)>& done) {
-    if (is_cut(address)) {
-      timers->ScheduleAfter(kCallTimeout + call.max_wait, [done] {
-        done(Unexpected(WorkerError::kNoResponse));
-      });
-      return;
-    }
-    if (is_refusing(address)) {
-      timers->ScheduleAfter(kLatency, [done] {
-        done(Unexpected(WorkerError::kConnectionRefused));
-      });
-      return;
-    }
-    if (fails()) {
-      timers->ScheduleAfter(
-          kLatency, [done] { done(Unexpected(WorkerError::kNotSent)); });
-      return;
-    }
-    timers_.ScheduleAfter(kLatency, [=, this] {
-      Watch(address, call, 0, timers_.Now() + call.max_wait,
-            [=](const Result<WorkerReport>& report) {
-              if (is_refusing(address)) {
-                return done(Unexpected(WorkerError::kNoResponse));
-              }
-              // A cut that began meanwhile swallows the answer.
-              if (is_cut(address)) {
-                timers->ScheduleAfter(kCallTimeout, [done] {
-                  done(Unexpected(WorkerError::kNoResponse));
-                });
-                return;
-              }
-              timers->ScheduleAfter(kLatency, [done, report] { done(report); });
-            });
-    });
-  };
-  return calls;
-}
-
 }  // namespace pomelomill
