--- /dev/null
+++ b/tools/soak/store.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "record.h"
+#include "wire.h"
+
+namespace pomelomill::soak {
+
+/// The next transaction of one entry (with `names`: the next with a key that
+/// contains it) is carried out and its connection ends without an answer; then
+/// all calls of that entry get `status` for `busy_ms`. Without `is_lost` the
+/// entry is turned away at once.
+struct StoreTrouble {
+  bool is_lost = true;
+  std::string names;
+  Ending ending = Ending::kReset;
+  int status = 503;
+  std::int64_t busy_ms = 0;
+};
+
+/// The platform's store and its list of machines, in this process, with one
+/// address for each entry.
+class Store {
+ public:
+  Store(std::size_t entries, Record& record);
+
+  std::string address(std::size_t entry) const;
+  std::string machines_address() const { return machines_.address(); }
+  void Afflict(std::size_t entry, const StoreTrouble& trouble);
+  /// Written by the platform or a worker; removed after `ttl_ms` unless 0.
+  void Put(const std::string& key, const nlohmann::json& value,
+           std::int64_t ttl_ms);
+
+ private:
+  using Json = nlohmann::json;
+
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+    std::uint64_t lease = 0;
+    std::int64_t expires_at = 0;
+    /// Of items of the platform and the workers.
+    Json plain;
+  };
+  struct Lease {
+    std::int64_t ttl_ms = 0;
+    std::int64_t expires_at = 0;
+  };
+  struct Line {
+    StoreTrouble trouble;
+    bool is_armed = false;
+    std::int64_t busy_until = 0;
+  };
+
+  WireReply OnCall(std::size_t entry, const WireRequest& request);
+  WireReply OnMachines(const WireRequest& request);
+  WireReply Get(const std::string& key);
+  WireReply Range(const WireRequest& request);
+  WireReply Watch(std::unique_lock<std::mutex>& lock, std::size_t entry,
+                  const WireRequest& request);
+  WireReply Commit(std::size_t entry, const Json& body);
+  bool IsBusy(std::size_t entry) const;
+  void Write(const std::string& key, Item item);
+  void Remove(const std::string& key);
+  void EndLease(std::uint64_t id);
+  void RemoveExpired();
+  static Json Row(const std::string& key, const Item& item);
+
+  Record& record_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Item> items_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::vector<std::pair<std::uint64_t, Json>> events_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t last_lease_ = 100;
+  std::vector<Line> lines_;
+  std::vector<std::unique_ptr<WireServer>> servers_;
+  WireServer machines_;
+};
+
+}  // namespace pomelomill::soak
