--- a/tools/soak/entry_process.cc
+++ b/tools/soak/entry_process.cc
@@ -48,11 +48,12 @@
 void EntryProcess::Launch() {
   const std::string base =
       options_.directory + "/entry-" + std::to_string(index_);
-  std::string settings = "POMELOMILL_SETTINGS=" + base + ".ini";
+  std::string settings = base + ".ini";
   std::string binary = options_.binary;
   std::string command = "dispatch";
-  std::array<char*, 3> arguments = {binary.data(), command.data(), nullptr};
-  std::array<char*, 2> environment = {settings.data(), nullptr};
+  std::array<char*, 4> arguments = {binary.data(), command.data(),
+                                    settings.data(), nullptr};
+  std::array<char*, 1> environment = {nullptr};
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -1,8 +1,8 @@
 // A seeded soak of the job service with real processes: three entries of the
 // product, and in this process the platform's store, the workers and the
 // clients. It looks for faults that only real connections show: a call whose
-// answer is lost and what the HTTP client does about it. The bench of the tests
-// replaces that client. Run it with scripts/soak.sh.
+// answer is lost and what the HTTP client does about it. The stand-ins in
+// virtual time begin above that client. Run it with scripts/soak.sh.
 //
 // Exit codes: 0 no rule was broken, 1 one was, 2 the seed could not run.
 
