--- a/libs/jobserver/test/order_repeater_test.cc
+++ b/libs/jobserver/test/order_repeater_test.cc
@@ -89,6 +89,15 @@
         [this](bool is_settled) { settled.push_back(is_settled); });
   }
 
+  void Stop() {
+    repeater_->Stop(
+        {WorkerId("w"), "w:1"}, {}, 7, FencingToken(1),
+        [this] { return may_send; },
+        [this](const Result<std::int64_t>& result) {
+          stop_results.push_back(result.has_value());
+        });
+  }
+
   VirtualTimerService timers;
   bool may_send = true;
   /// Numbers of calls, from 0.
@@ -96,6 +105,8 @@
   std::vector<Duration> sent_at;
   std::vector<std::uint32_t> runs;
   std::vector<StartOutcome> results;
+  /// Whether each stop was answered with success.
+  std::vector<bool> stop_results;
   Duration result_at{};
   std::vector<bool> settled;
   std::optional<OrderRepeater> repeater_;
@@ -196,15 +207,10 @@
   CHECK(it.sent_at.size() == 2);
   CHECK(it.results == std::vector{StartOutcome::kUnknown});
   it.sent_at.clear();
-  std::vector<bool> results;
-  it.repeater_->Stop(
-      {WorkerId("w"), "w:1"}, {}, 7, FencingToken(1), [] { return true; },
-      [&](const Result<std::int64_t>& result) {
-        results.push_back(result.has_value());
-      });
+  it.Stop();
   it.timers.Advance(seconds(3));
   CHECK(it.sent_at.size() == 2);
-  CHECK(results == std::vector{false});
+  CHECK(it.stop_results == std::vector{false});
 }
 
 // Guards against an order that is sent after the lease of the owner's role has
@@ -238,15 +244,10 @@
 TEST_CASE("a stop is repeated until it is answered") {
   Fixture it({StartOutcome::kUnknown, StartOutcome::kStarted});
   it.SeeAnswers(30, milliseconds(3));
-  std::vector<bool> results;
-  it.repeater_->Stop(
-      {WorkerId("w"), "w:1"}, {}, 7, FencingToken(1), [] { return true; },
-      [&](const Result<std::int64_t>& result) {
-        results.push_back(result.has_value());
-      });
+  it.Stop();
   it.timers.Advance(seconds(3));
   CHECK(it.sent_at.size() == 2);
-  CHECK(results == std::vector{true});
+  CHECK(it.stop_results == std::vector{true});
 }
 
 // Replays the load of workers that answer three orders in ten late, as on the
