Count a request as sent once a connection was there to write it

Without the exception such a request has an unknown outcome, as before, and only a GET is repeated. New: http_client_test, "an orderly close of an idle connection counts when it is found", fails when the note of the close is taken out, which no test noticed before. http_test passes, 28 cases.

--- a/libs/http/include/pomelomill/http/persistent_http_client.h
+++ b/libs/http/include/pomelomill/http/persistent_http_client.h
@@ -26,9 +26,8 @@
 /// no proxy, no redirect and no HEAD.
 ///
 /// A request is written at most once, so that the result is that of its only
-/// copy. There are two exceptions, for which a new connection is opened when a
-/// reused one ends before the first byte of the response: a GET, which has no
-/// effects, and a request of which no byte was written.
+/// copy. A GET, which has no effects, is sent once more on a new connection when
+/// a reused one ends before the first byte of the response.
 class PersistentHttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
--- a/libs/http/src/persistent_http_client.cc
+++ b/libs/http/src/persistent_http_client.cc
@@ -145,8 +145,7 @@
   /// connection has ended. Only the caller knows what an answer to a second
   /// copy of a request with effects says about the first one.
   bool may_be_repeated() const {
-    return is_connection_reused &&
-           (!may_have_been_sent || request.method == "GET");
+    return is_connection_reused && request.method == "GET";
   }
 };
 
@@ -270,12 +269,11 @@
     const ConnectionPtr connection = exchange.connection;
     connection->exchange = id;
     connection->reader.Begin(exchange.request.max_response_bytes);
+    exchange.may_have_been_sent = true;
     std::error_code ec;
     const std::size_t n =
         connection->socket.write_some(asio::buffer(exchange.text), ec);
-    const bool has_failed = ec && ec != asio::error::would_block;
-    exchange.may_have_been_sent |= !has_failed;
-    if (has_failed) {
+    if (ec && ec != asio::error::would_block) {
       asio::post(context_, [self = shared_from_this(), id, connection] {
         self->OnConnectionEnd(id, connection);
       });
--- a/libs/http/test/http_client_test.cc
+++ b/libs/http/test/http_client_test.cc
@@ -237,6 +237,25 @@
   CHECK(next.has_peer_closed != is_reset);
 }
 
+// Guards against a process whose end is noticed late, since the close of its
+// idle connection was seen only as the connection was to be used again.
+TEST_CASE("an orderly close of an idle connection counts when it is found") {
+  for (const bool is_reset : {false, true}) {
+    CAPTURE(is_reset);
+    asio::io_context context;
+    ScriptedServer server(context,
+                          {{.text = kOk, .closes = true, .resets = is_reset}});
+    const std::string url = server.url();
+    PersistentHttpClient client(context);
+    CHECK_FALSE(Exchange(context, client, {.url = url}).error);
+    server.Close();
+    const HttpResult r = Exchange(context, client, {.url = url});
+    CHECK(r.error == HttpError::kConnectionRefused);
+    CHECK(r.has_peer_closed != is_reset);
+    CHECK_FALSE(r.may_have_been_sent);
+  }
+}
+
 // Guards against a failure of this process that is taken for the end of the
 // peer's process.
 TEST_CASE_TEMPLATE("a process without descriptors does not blame the peer",
