--- a/libs/fleet/test/pool_sizer_test.cc
+++ b/libs/fleet/test/pool_sizer_test.cc
@@ -205,14 +205,18 @@
   it.sizer.OnMoveAnswer(moves[0].vm, VmCallOutcome::kUnknown, At(10));
   it.sizer.OnMoveAnswer(moves[1].vm, VmCallOutcome::kAccepted, At(10));
   it.sizer.OnMoveAnswer(moves[2].vm, VmCallOutcome::kRefused, At(10));
-  const auto is_sent_again = [&](int now_ms) {
-    const auto again = it.sizer.Plan(At(now_ms)).moves;
-    return std::any_of(again.begin(), again.end(), [&](const auto& move) {
-      return move.vm == moves[0].vm;
-    });
+  const auto moves_at = [&](int now_ms) {
+    return it.sizer.Plan(At(now_ms)).moves;
   };
-  CHECK_FALSE(is_sent_again(20));
-  CHECK(is_sent_again(110));
+  const auto is_for = [&](const VmId& vm) {
+    return [&vm](const SizePlan::Move& move) { return move.vm == vm; };
+  };
+  const auto early = moves_at(20);
+  CHECK(std::none_of(early.begin(), early.end(), is_for(moves[0].vm)));
+  const auto again = moves_at(110);
+  REQUIRE_FALSE(again.empty());
+  CHECK(again[0].vm == moves[0].vm);
+  CHECK(std::none_of(again.begin(), again.end(), is_for(moves[1].vm)));
 }
 
 // Guards against AVAIL: a VM gets tasks again because a second copy of its move
