Test that a move which may have been carried out is not redirected

Change: a case of pool_sizer_test in which the other pool needs the VMs while a copy of their moves is unanswered.

--- a/libs/fleet/test/pool_sizer_test.cc
+++ b/libs/fleet/test/pool_sizer_test.cc
@@ -257,6 +257,38 @@
   CHECK(reopened == moves.size());
 }
 
+// Guards against two moves of one VM with different destinations.
+TEST_CASE("a move that may have been carried out is not redirected") {
+  Deployment it;
+  it.vms.resize(12);
+  it.SetVms();
+  it.ReportDemand("a", 6 * kVmCpuMillis, 6 * kVmCpuMillis, 0);
+  it.ReportDemand("b", 0, 0, 0);
+  for (const auto& close : it.sizer.Plan(At(0)).workers_to_close)
+    it.sizer.OnWorkerEmptied(close.worker);
+  const auto moves = it.sizer.Plan(At(100)).moves;
+  REQUIRE_FALSE(moves.empty());
+  for (const auto& move : moves)
+    it.sizer.OnMoveAnswer(move.vm, VmCallOutcome::kUnknown, At(110));
+  // Now the other pool needs the VMs.
+  it.ReportDemand("a", 0, 0, 1'200);
+  it.ReportDemand("b", 6 * kVmCpuMillis, 6 * kVmCpuMillis, 1'200);
+  const SizePlan plan = it.sizer.Plan(At(1'200));
+  CHECK(plan.workers_to_reopen.empty());
+  CHECK(plan.moves.size() >= moves.size());
+  for (const auto& move : moves) {
+    const auto again =
+        std::find_if(plan.moves.begin(), plan.moves.end(),
+                     [&](const auto& other) { return other.vm == move.vm; });
+    REQUIRE(again != plan.moves.end());
+    CHECK(again->to == move.to);
+  }
+  // Redirections are decided before the next repeat is due.
+  for (const auto& move : plan.moves)
+    it.sizer.OnMoveAnswer(move.vm, VmCallOutcome::kUnknown, At(1'210));
+  CHECK(it.sizer.Plan(At(1'220)).workers_to_reopen.empty());
+}
+
 TEST_CASE("surplus VMs are parked after park_after") {
   Deployment it;
   // Pool a must keep three VMs and may keep four of the 18 VMs in reserve, so
