--- a/libs/http/include/pomelomill/http/persistent_http_client.h
+++ b/libs/http/include/pomelomill/http/persistent_http_client.h
@@ -26,8 +26,8 @@
 /// no proxy, no redirect and no HEAD.
 ///
 /// A request is written at most once, so that the result is that of its only
-/// copy. A GET, which has no effects, is sent once more on a new connection when
-/// a reused one ends before the first byte of the response.
+/// copy. A GET, which has no effects, is sent once more on a new connection
+/// when a reused one ends before the first byte of the response.
 class PersistentHttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
