--- a/tools/soak/clients.cc
+++ b/tools/soak/clients.cc
@@ -3,15 +3,21 @@
 #include <array>
 #include <cstdio>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "caller_messages.h"
 #include "wire.h"
 
 namespace pomelomill::soak {
 namespace {
 
-using Json = nlohmann::json;
+using platform::stand_in::DecodeJobState;
+using platform::stand_in::EncodeJob;
+using platform::stand_in::SleepMillis;
+using platform::stand_in::SteadyMillis;
+using platform::stand_in::StepShape;
+using platform::stand_in::WireClient;
+using platform::stand_in::WireReply;
 
 constexpr int kPercent = 100;
 constexpr int kTimeoutMs = 3'000;
@@ -31,9 +37,8 @@
 }
 
 std::string StateOf(const WireReply& reply) {
-  if (reply.status != 200) return std::to_string(reply.status);
-  const Json body = Json::parse(reply.body, nullptr, false);
-  return body.is_object() ? body.value("state", "") : "";
+  return reply.status == 200 ? DecodeJobState(reply.body)
+                             : std::to_string(reply.status);
 }
 
 }  // namespace
@@ -67,7 +72,7 @@
     WireClient client(entry);
     for (auto it = open.begin(); it != open.end() && SteadyMillis() < end;) {
       it->second =
-          StateOf(client.Call("GET", "/work/" + it->first, "", kTimeoutMs));
+          StateOf(client.Call("GET", kQueuePrefix + it->first, "", kTimeoutMs));
       it = it->second == "complete" ? open.erase(it) : std::next(it);
     }
   };
@@ -90,7 +95,8 @@
                         const std::string& body) {
     const auto entry = static_cast<std::size_t>(
         Draw(generator, 0, static_cast<std::int64_t>(entries_.size()) - 1));
-    return connections[entry]->Call(method, "/work/" + job, body, kTimeoutMs);
+    return connections[entry]->Call(method, kQueuePrefix + job, body,
+                                    kTimeoutMs);
   };
   const auto is_over = [this] { return is_ending_ && SteadyMillis() >= end_; };
   for (int number = 1; !is_ending_; ++number) {
@@ -123,26 +129,20 @@
 
 std::string Clients::MakeJob(std::mt19937_64& generator) const {
   const auto make_step = [&](std::int64_t duration) {
-    Json step = {{"count", Draw(generator, 1, 6)},
-                 {"cpu", Draw(generator, 1, 8) * 250},
-                 {"memMb", 64},
-                 {"estimateMs", duration}};
-    if (Draw(generator, 0, 2) == 0) {
-      step["affinity"] = "r" + std::to_string(Draw(generator, 0, racks_ - 1));
-    }
-    if (Draw(generator, 0, 3) == 0) step["antiAffinity"] = 1;
+    StepShape step = {.tasks = Draw(generator, 1, 6),
+                      .cpu_millis = Draw(generator, 1, 8) * 250,
+                      .duration_ms = duration};
+    if (Draw(generator, 0, 2) == 0)
+      step.rack = "r" + std::to_string(Draw(generator, 0, racks_ - 1));
+    step.is_spread_over_workers = Draw(generator, 0, 3) == 0;
     return step;
   };
   const std::int64_t duration = Draw(generator, 0, 3) == 0
                                     ? Draw(generator, 1'000, 3'500)
                                     : Draw(generator, 20, 900);
-  Json steps = Json::array({make_step(duration)});
-  if (Draw(generator, 0, 3) == 0) {
-    Json next = make_step(duration);
-    next["after"] = {0};
-    steps.push_back(next);
-  }
-  return Json{{"spec", std::to_string(duration)}, {"steps", steps}}.dump();
+  std::vector<StepShape> steps = {make_step(duration)};
+  if (Draw(generator, 0, 3) == 0) steps.push_back(make_step(duration));
+  return EncodeJob(steps);
 }
 
 }  // namespace pomelomill::soak
--- a/tools/soak/clients.h
+++ b/tools/soak/clients.h
@@ -13,6 +13,9 @@
 
 namespace pomelomill::soak {
 
+constexpr const char* kHost = "soak.example";
+constexpr const char* kQueuePrefix = "/jobs/";
+
 /// Clients that submit small jobs at random entries. Each keeps one connection
 /// to each entry. A rejected job is not submitted again; one without an answer
 /// is, at any entry.
--- a/tools/soak/entry_process.cc
+++ b/tools/soak/entry_process.cc
@@ -17,6 +17,11 @@
 namespace pomelomill::soak {
 namespace {
 
+using platform::stand_in::FreeAddress;
+using platform::stand_in::SleepMillis;
+using platform::stand_in::SteadyMillis;
+using platform::stand_in::WireClient;
+
 constexpr int kGraceMs = 6'000;
 constexpr int kPollMs = 20;
 constexpr int kReadyTimeoutMs = 500;
--- a/tools/soak/troubles.h
+++ b/tools/soak/fault_schedule.h
@@ -13,28 +13,29 @@
 
 namespace pomelomill::soak {
 
-/// Troubles that the contract allows, drawn from a seed, one after the other
+/// Faults that the platform may have, drawn from a seed, one after the other
 /// or overlapping.
-class Troubles {
+class FaultSchedule {
  public:
-  Troubles(std::uint64_t seed, Store& store,
-           std::vector<std::unique_ptr<Worker>>& workers,
-           std::vector<std::unique_ptr<EntryProcess>>& entries, Record& record);
+  FaultSchedule(
+      std::uint64_t seed, platform::stand_in::Store& store,
+      std::vector<std::unique_ptr<platform::stand_in::Worker>>& workers,
+      std::vector<std::unique_ptr<EntryProcess>>& entries, Record& record);
 
-  /// Returns after `duration_ms`, when the last trouble of an entry is over.
+  /// Returns after `duration_ms`, when the last fault of an entry is over.
   void Run(std::int64_t duration_ms);
 
  private:
-  void AfflictWorkers();
+  void FailWorkers();
   void CloseIdle();
-  void AfflictStore();
-  void AfflictEntry();
+  void FailStore();
+  void DisturbEntry();
   void KillAll();
   std::int64_t Draw(std::int64_t low, std::int64_t high);
 
   std::mt19937_64 generator_;
-  Store& store_;
-  std::vector<std::unique_ptr<Worker>>& workers_;
+  platform::stand_in::Store& store_;
+  std::vector<std::unique_ptr<platform::stand_in::Worker>>& workers_;
   std::vector<std::unique_ptr<EntryProcess>>& entries_;
   Record& record_;
   std::vector<std::thread> threads_;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -18,15 +18,21 @@
 
 #include "clients.h"
 #include "entry_process.h"
+#include "fault_schedule.h"
 #include "record.h"
 #include "store.h"
-#include "troubles.h"
 #include "wire.h"
 #include "worker.h"
 
 namespace pomelomill::soak {
 namespace {
 
+using platform::stand_in::SleepMillis;
+using platform::stand_in::SteadyMillis;
+using platform::stand_in::Store;
+using platform::stand_in::Worker;
+using platform::stand_in::WorkerHooks;
+
 constexpr int kEntries = 3;
 constexpr std::int64_t kHeartbeatMs = 1'500;
 constexpr std::int64_t kEntryTtlMs = 3 * kHeartbeatMs;
@@ -36,28 +42,21 @@
 constexpr int kMillisPerSecond = 1'000;
 constexpr int kCannotRun = 2;
 
-nlohmann::json Config() {
-  return {{"version", 1},
-          {"routes",
-           {{{"name", "work"},
-             {"host", "soak.example"},
-             {"prefix", "/work/"},
-             {"kind", "unsafe"},
-             {"timeoutMs", 3'000},
-             {"targetLatencyMs", 600},
-             {"priority", 0},
-             {"service", "soak"},
-             {"attempts", 4},
-             {"stretch", 2}}}},
-          {"services",
-           {{{"name", "soak"},
-             {"healthPath", "/health"},
-             {"maxConns", 64},
-             {"protocol", "h1"},
-             {"tls", false},
-             {"enforcesCapacity", false},
-             {"spare", false}}}},
-          {"limits", {{"maxBodyBytes", 262'144}}}};
+WorkerHooks MakeWorkerHooks(Record& record) {
+  return {
+      .on_start = [&record](
+                      const std::string& worker, const std::string& task,
+                      std::uint32_t run) { record.Started(worker, task, run); },
+      .on_end =
+          [&record](const std::string& worker, const std::string& task,
+                    std::uint32_t run, const std::string& outcome) {
+            record.Ended(worker, task, run, outcome);
+          },
+      .on_acknowledged =
+          [&record](const std::string& task, const std::string& outcome) {
+            record.Acknowledged(task, outcome);
+          },
+      .note = [&record](const std::string& text) { record.Note(text); }};
 }
 
 int Soak(std::uint64_t seed, std::int64_t seconds, const std::string& binary,
@@ -66,8 +65,9 @@
   // The threads of the servers use these until the process ends.
   Record& record = *new Record(directory + "/record.txt");
   std::mt19937_64 generator(seed);
-  Store& store = *new Store(kEntries, record);
-  store.Put("op/config", Config(), 0);
+  const auto note = [&record](const std::string& text) { record.Note(text); };
+  Store& store = *new Store(kEntries, note);
+  store.PutConfig(kHost, kQueuePrefix);
   auto& workers = *new std::vector<std::unique_ptr<Worker>>;
   const std::int64_t count = Draw(generator, 6, 12);
   const std::int64_t rack_size = Draw(generator, 1, 4);
@@ -76,12 +76,11 @@
         1 - static_cast<double>(Draw(generator, 0, 20)) / kMillisPerSecond;
     workers.push_back(std::make_unique<Worker>(
         "w-" + std::to_string(i), "r" + std::to_string(i / rack_size), rate,
-        record));
+        MakeWorkerHooks(record)));
   }
   std::thread([&workers, &store] {
     while (true) {
-      for (auto& it : workers)
-        store.Put("servers/" + it->id(), it->Entry(), kEntryTtlMs);
+      for (auto& it : workers) store.PutWorker(*it, kEntryTtlMs);
       SleepMillis(kHeartbeatMs);
     }
   }).detach();
@@ -111,9 +110,9 @@
   const int racks = static_cast<int>((count + rack_size - 1) / rack_size);
   Clients clients(callers, seed, racks, record);
   clients.Begin(static_cast<int>(Draw(generator, 4, 8)));
-  Troubles(generator(), store, workers, entries, record)
+  FaultSchedule(generator(), store, workers, entries, record)
       .Run(seconds * kMillisPerSecond);
-  record.Note("troubles end");
+  record.Note("faults end");
   const std::int64_t end = SteadyMillis() + kCompleteMs;
   clients.Finish(end);
   clients.AwaitComplete(end);
@@ -128,9 +127,9 @@
 }
 
 int Main(int argc, char** argv) {
-  cxxopts::Options options("soak", "Job service under troubles, one seed");
+  cxxopts::Options options("soak", "Job service under faults, one seed");
   options.add_options()("seed", "seed", cxxopts::value<std::uint64_t>())(
-      "seconds", "length of the troubles",
+      "seconds", "length of the faults",
       cxxopts::value<std::int64_t>()->default_value("18"))(
       "binary", "the product", cxxopts::value<std::string>())(
       "directory", "takes the record and the logs",
--- a/tools/soak/record.cc
+++ b/tools/soak/record.cc
@@ -6,6 +6,8 @@
 
 namespace pomelomill::soak {
 
+using platform::stand_in::UnixMillis;
+
 void Record::Note(const std::string& text) {
   const std::lock_guard lock(mutex_);
   Write(text);
