Keep the terms of a job with the job

Cause: an owner read attempts, priority and latency objective of every job from the configuration in force. A new owner of the pool had never seen the queue and fell back to a default policy of one attempt (Dispatcher::Impl::PolicyOf).

Now the accepting entry stores the terms of the queue, with their revision, in the job's record. The terms of the highest revision apply, among these and the configurations that name the queue; no default stands in for a missing queue. A record of an older version has no terms: while no configuration names its queue, a task of it that has failed is neither given up nor started again. A task that has used up lowered attempts, or those that a former owner counted, is not started once more; its job fails.

Also ruled out: a read that the store turns away, since an owner has a configuration before it has a pool. Fields of a job's steps (label, rack, disruption limit) were stored with the job before.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -31,6 +31,14 @@
   bool operator==(const QueuePolicy&) const = default;
 };
 
+/// Policy of a queue as of one revision of the configuration.
+struct QueueTerms {
+  QueuePolicy policy;
+  Revision revision;
+
+  bool operator==(const QueueTerms&) const = default;
+};
+
 /// Limits and time spans of a Dispatcher.
 struct DispatcherOptions {
   /// First run number that this owner assigns; higher than every run number of
@@ -157,6 +165,9 @@
   QueueId queue;
   std::shared_ptr<const JobSpec> spec;
   JobProgress progress;
+  /// Terms of the queue when the job was accepted; absent in jobs of versions
+  /// that did not store them.
+  std::optional<QueueTerms> terms;
   /// The job was accepted before this owner took over; an earlier owner may
   /// have started tasks of the job that no worker has reported yet.
   bool is_inherited = false;
@@ -219,7 +230,13 @@
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
-  void SetQueue(const QueueId& queue, const QueuePolicy& policy);
+  /// Sets the policy that a configuration gives a queue. Ignored when a higher
+  /// revision was set before.
+  ///
+  /// A job has the policy of the highest revision among those set for its queue
+  /// and that of its own terms. While it has neither, its attempts are unknown:
+  /// a failed run neither ends it nor is followed by another.
+  void SetQueue(const QueueId& queue, const QueueTerms& terms);
 
   /// Adds a job; a job that was already added is left unchanged.
   void AddJob(const AddedJob& job, Instant now);
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -22,11 +22,6 @@
 
 }  // namespace
 
-void Dispatcher::Impl::SetQueue(const QueueId& queue,
-                                const QueuePolicy& policy) {
-  policies_[queue] = policy;
-}
-
 const TrackedJob* Dispatcher::Impl::FindJob(const JobId& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -37,12 +32,6 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-const QueuePolicy& Dispatcher::Impl::PolicyOf(const TrackedJob& job) const {
-  static const QueuePolicy fallback;
-  const auto it = policies_.find(job.queue);
-  return it == policies_.end() ? fallback : it->second;
-}
-
 void Dispatcher::Impl::RecordEvent(const char* event, const TaskKey& key,
                                    std::uint32_t run, const WorkerId& worker,
                                    std::string detail) {
@@ -55,6 +44,7 @@
   job.id = added.id;
   job.queue = added.queue;
   job.spec = added.spec;
+  job.terms = added.terms;
   job.phase = job.stored_phase = added.progress.phase;
   job.ended_wall_ms = added.progress.ended_ms;
   job.is_inherited = added.is_inherited;
@@ -96,6 +86,7 @@
         if (MustRunAlone(spec.steps[s], tasks[i]))
           tasks_to_run_alone_.insert(key);
         if (tasks[i].unfinished_run != 0) unfinished_runs_.insert(key);
+        must_judge_failed_runs_ |= !tasks[i].failed_runs.empty();
       }
     }
   }
@@ -310,8 +301,8 @@
                                    std::move(timing_hook))) {}
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::SetQueue(const QueueId& queue, const QueuePolicy& policy) {
-  impl_->SetQueue(queue, policy);
+void Dispatcher::SetQueue(const QueueId& queue, const QueueTerms& terms) {
+  impl_->SetQueue(queue, terms);
 }
 void Dispatcher::AddJob(const AddedJob& job, Instant now) {
   impl_->AddJob(job, now);
--- a/libs/dispatch/src/dispatcher_crashes.cc
+++ b/libs/dispatch/src/dispatcher_crashes.cc
@@ -179,9 +179,10 @@
     plan.examined += workers_.all().size();
     TrackedJob& job = *FindJob(key.job);
     TaskState& task = *FindTask(job, key);
-    if (!MayStart(job, task, now, plan)) continue;
-    PoolWorker* const worker =
-        FindReservedWorker(job.spec->steps[key.step], key, now);
+    const StepSpec& step = job.spec->steps[key.step];
+    if (!MayStart(job, task, now, plan) || AwaitsTerms(job, step, task))
+      continue;
+    PoolWorker* const worker = FindReservedWorker(step, key, now);
     if (worker == nullptr) continue;
     if (!IsWithinStartLimit(1)) return false;
     const std::uint32_t run = std::max(next_run_, task.run + 1);
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -31,7 +31,7 @@
         recent_crashes_(options.shared_crash_window,
                         options.shared_crash_workers) {}
 
-  void SetQueue(const QueueId& queue, const QueuePolicy& policy);
+  void SetQueue(const QueueId& queue, const QueueTerms& terms);
   void AddJob(const AddedJob& added, Instant now);
   void CancelJob(const JobId& id, Instant now, std::int64_t wall_ms);
 
@@ -83,7 +83,24 @@
  private:
   using WallMs = std::int64_t;
 
-  const QueuePolicy& PolicyOf(const TrackedJob& job) const;
+  /// Returns the terms that apply to the job; null when they are unknown.
+  const QueueTerms* FindTerms(const TrackedJob& job) const;
+  /// Returns the policy by which the job is ranked: that of its terms, else one
+  /// that favours no job.
+  const QueuePolicy& RankingPolicyOf(const TrackedJob& job) const;
+  /// Whether the task has failed and its attempts are unknown.
+  bool AwaitsTerms(const TrackedJob& job, const StepSpec& step,
+                   const TaskState& task) const;
+  /// Returns the failed runs that count against the task: its own or those of
+  /// its gang, none for a long-running task.
+  std::size_t CountFailedRuns(const TrackedJob& job, const TaskKey& key) const;
+  /// Fails the job if the task has used up its attempts; returns whether it
+  /// has. The worker is that of the latest failed run, empty if unknown.
+  bool JudgeFailedRuns(TrackedJob& job, const TaskKey& key,
+                       const WorkerId& worker, Instant now, WallMs wall_ms);
+  /// Fails the jobs with a task that has used up its attempts, after terms have
+  /// become known or have changed.
+  void JudgeAllFailedRuns(Instant now, WallMs wall_ms, DispatchPlan& plan);
   void RecordEvent(const char* event, const TaskKey& key, std::uint32_t run,
                    const WorkerId& worker, std::string detail = {});
 
@@ -203,7 +220,9 @@
   DispatchEventHook event_hook_;
   TimingHook timing_hook_;
   std::uint32_t next_run_;
-  std::map<QueueId, QueuePolicy> policies_;
+  std::map<QueueId, QueueTerms> queues_;
+  /// Terms or restored failed runs are not judged yet.
+  bool must_judge_failed_runs_ = false;
   RunTimes run_times_;
   std::map<JobId, TrackedJob> jobs_;
   /// Jobs whose phase is not final. A separate index, because finished jobs are
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -39,6 +39,8 @@
       PlanNoLaterThan(plan, now + std::chrono::milliseconds(due_ms - wall_ms));
     }
   }
+  if (std::exchange(must_judge_failed_runs_, false))
+    JudgeAllFailedRuns(now, wall_ms, plan);
   if (awaited_workers_.empty()) CountUnfinishedRuns(now, wall_ms);
   PlanEvacuations(now, plan);
   PlanStops(now, plan);
@@ -172,7 +174,7 @@
           return search.MayFit(job->spec->steps[it.step]);
         })) {
       queue.emplace_back(
-          RankJob(*job, CachedRankInputs(*job), PolicyOf(*job), now),
+          RankJob(*job, CachedRankInputs(*job), RankingPolicyOf(*job), now),
           queue.size(), job);
     }
   }
@@ -238,7 +240,9 @@
   for (std::uint32_t i = first; i < state.tasks.size(); ++i) {
     ++plan.examined;
     TaskState& task = state.tasks[i];
-    if (!MayStart(job, task, now, plan) || MustRunAlone(spec, task)) continue;
+    if (!MayStart(job, task, now, plan) || AwaitsTerms(job, spec, task) ||
+        MustRunAlone(spec, task))
+      continue;
     PoolWorker* const worker = search.Choose(spec, state, task);
     if (worker == nullptr) return true;
     if (!IsWithinStartLimit(1)) return false;
@@ -258,7 +262,8 @@
   plan.examined += state.tasks.size();
   std::uint32_t run = next_run_;
   for (const TaskState& it : state.tasks) {
-    if (!MayStart(job, it, now, plan)) return true;
+    if (!MayStart(job, it, now, plan) || AwaitsTerms(job, spec, it))
+      return true;
     run = std::max(run, it.run + 1);
   }
   // All members must resume from the same checkpoint: the greatest text of
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -201,19 +201,13 @@
   task.retry_at = std::max(task.retry_at, now + options_.retry_backoff);
   task.avoid_until = now + options_.failed_worker_avoidance;
   if (job.is_final()) return;
-  const StepSpec& step = job.spec->steps[key.step];
-  if (step.is_long_running) return;
-  std::set<std::uint32_t> failed = task.failed_runs;
-  if (step.is_gang) {
-    for (const TaskState& it :
-         job.occurrences.at(key.occurrence).steps[key.step].tasks)
-      failed.insert(it.failed_runs.begin(), it.failed_runs.end());
-  }
+  if (job.spec->steps[key.step].is_long_running) return;
   MarkDirty(job);
-  if (failed.size() < PolicyOf(job).max_attempts) return;
-  RecordEvent("job-failed", key, task.run, id,
-              std::to_string(failed.size()) + " failed runs");
-  EndJob(job, JobPhase::kFailed, now, wall_ms);
+  if (FindTerms(job) == nullptr) {
+    RecordEvent("terms-unknown", key, task.run, id,
+                "attempts of queue " + job.queue.value() + " unknown");
+  }
+  JudgeFailedRuns(job, key, id, now, wall_ms);
 }
 
 void Dispatcher::Impl::OnRunning(const WorkerId& id, PoolWorker& worker,
--- a/libs/dispatch/test/capacity_test.cc
+++ b/libs/dispatch/test/capacity_test.cc
@@ -17,7 +17,7 @@
 class OneWorker {
  public:
   OneWorker() {
-    dispatcher.SetQueue(QueueId("q"), {.max_attempts = 2});
+    dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 2}});
     auto spec = std::make_shared<JobSpec>();
     StepSpec& step = spec->steps.emplace_back();
     step.tasks = 8;
--- a/libs/dispatch/test/crash_test.cc
+++ b/libs/dispatch/test/crash_test.cc
@@ -54,7 +54,7 @@
     dispatcher = std::make_unique<Dispatcher>(
         DispatcherOptions{.first_run = first_run},
         [this](const DispatchEvent& it) { events.push_back(it); });
-    dispatcher->SetQueue(QueueId("q"), {.max_attempts = 2});
+    dispatcher->SetQueue(QueueId("q"), {{.max_attempts = 2}});
     std::vector<WorkerSpec> specs;
     for (std::size_t i = 0; i < workers_.size(); ++i) specs.push_back(Spec(i));
     dispatcher->SetListedWorkers(specs);
--- a/libs/dispatch/test/dispatcher_test.cc
+++ b/libs/dispatch/test/dispatcher_test.cc
@@ -34,7 +34,7 @@
 class Pool {
  public:
   explicit Pool(std::size_t workers, std::uint32_t max_attempts = 2) {
-    dispatcher.SetQueue(QueueId("q"), {.max_attempts = max_attempts});
+    dispatcher.SetQueue(QueueId("q"), {{.max_attempts = max_attempts}});
     std::vector<WorkerSpec> specs;
     for (std::size_t i = 0; i < workers; ++i) {
       specs.push_back({.id = Worker(i),
@@ -197,7 +197,7 @@
   // Guards against more unavailable tasks than max_unavailable: a task that the
   // previous owner has stopped is reported as running until it ends.
   Dispatcher dispatcher({});
-  dispatcher.SetQueue(QueueId("q"), {.max_attempts = 2});
+  dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 2}});
   std::vector<WorkerSpec> specs;
   for (std::size_t i = 0; i < 3; ++i)
     specs.push_back({.id = Pool::Worker(i), .capacity = kCapacity});
@@ -292,7 +292,7 @@
   // The latest run is reported first. The earlier runs still count, and a run
   // that the previous owner has stored does not count twice.
   Dispatcher dispatcher{DispatcherOptions{.first_run = 100}};
-  dispatcher.SetQueue(QueueId("q"), {.max_attempts = 3});
+  dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 3}});
   dispatcher.AwaitWorkerReports(
       {WorkerId("w0"), WorkerId("w1"), WorkerId("w2")});
   AddedJob job = Job("a", {Tasks(1)});
@@ -532,7 +532,7 @@
         CHECK(queue == QueueId("q"));
         times.emplace_back(kind, took);
       });
-  dispatcher.SetQueue(QueueId("q"), {.max_attempts = 2});
+  dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 2}});
   dispatcher.SetListedWorkers({{.id = WorkerId("w"), .capacity = kCapacity}});
   dispatcher.OnReport(WorkerId("w"), {.clock_ms = 1, .started_ms = 1}, At(0),
                       0);
--- a/libs/dispatch/test/odd_load_test.cc
+++ b/libs/dispatch/test/odd_load_test.cc
@@ -8,7 +8,7 @@
 // which decides how much CPU the waiting tasks of the pool seem to need.
 TEST_CASE("a listed worker that has not reported does not change the load") {
   Dispatcher dispatcher{DispatcherOptions{}, [](const DispatchEvent&) {}};
-  dispatcher.SetQueue(QueueId("q"), {.max_attempts = 2});
+  dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 2}});
   auto spec = std::make_shared<JobSpec>();
   StepSpec& step = spec->steps.emplace_back();
   step.tasks = 8;
--- a/libs/dispatch/test/open_start_test.cc
+++ b/libs/dispatch/test/open_start_test.cc
@@ -15,7 +15,7 @@
 /// Three workers that have reported, and a job with one task.
 struct Pool {
   Pool() {
-    dispatcher.SetQueue(QueueId("q"), {.max_attempts = 2});
+    dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 2}});
     std::vector<WorkerSpec> workers;
     for (const char* it : {"w0", "w1", "w2"}) {
       workers.push_back(
--- a/libs/dispatch/test/peak_test.cc
+++ b/libs/dispatch/test/peak_test.cc
@@ -135,9 +135,9 @@
 LoadResult SimulateDispatcher(const std::vector<SimulatedJob>& jobs) {
   Dispatcher dispatcher{DispatcherOptions{}};
   dispatcher.SetQueue(QueueId("q"),
-                      {.max_attempts = 3,
-                       .stretch = kStretch,
-                       .target_latency = milliseconds(kTargetMs)});
+                      {{.max_attempts = 3,
+                        .stretch = kStretch,
+                        .target_latency = milliseconds(kTargetMs)}});
   std::vector<WorkerSpec> workers;
   for (std::size_t i = 0; i < kWorkers; ++i) {
     workers.push_back({.id = WorkerId("w" + std::to_string(i)),
@@ -259,8 +259,8 @@
   static constexpr std::uint32_t kCoresPerWorker = 8;
 
   explicit Burst(std::vector<std::uint32_t> widths, bool is_gang = false) {
-    dispatcher.SetQueue(QueueId("q"),
-                        {.max_attempts = 3, .target_latency = milliseconds(1)});
+    dispatcher.SetQueue(
+        QueueId("q"), {{.max_attempts = 3, .target_latency = milliseconds(1)}});
     std::vector<WorkerSpec> workers;
     for (std::size_t i = 0; i < kFreeWorkers; ++i) {
       workers.push_back({.id = WorkerId("w" + std::to_string(i)),
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -295,7 +295,10 @@
     const JobLocation location{api_request.queue->pool, api_request.queue->id};
     acceptor_.Submit(
         api_request.job, location,
-        EncodeStoredJob(api_request.queue->id, *spec),
+        EncodeStoredJob({.queue = api_request.queue->id,
+                         .spec = *spec,
+                         .terms = QueueTerms{api_request.queue->policy,
+                                             coordinator_.config()->revision}}),
         [this, reply, location, job = api_request.job](AcceptOutcome outcome) {
           if (outcome == AcceptOutcome::kRefused)
             return reply(
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -273,6 +273,7 @@
     added.id = id;
     added.queue = job->queue;
     added.spec = std::make_shared<const JobSpec>(std::move(job->spec));
+    added.terms = job->terms;
     added.is_inherited = change.created.value() < token_.value();
     if (const auto it = loaded_progress_.find(id); it != loaded_progress_.end())
       added.progress = std::move(it->second);
@@ -284,7 +285,7 @@
 
   void ApplyConfig() {
     for (const QueueConfig& it : config_.queues)
-      dispatcher_->SetQueue(it.id, it.policy);
+      dispatcher_->SetQueue(it.id, {it.policy, config_.revision});
     plans_.Schedule();
   }
 
--- a/libs/jobserver/src/store_records.cc
+++ b/libs/jobserver/src/store_records.cc
@@ -1,5 +1,6 @@
 #include "store_records.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "pomelomill/base/json_number.h"
@@ -34,6 +35,33 @@
   return json.at(name).get<std::string>();
 }
 
+Json ToJson(const QueueTerms& terms) {
+  const QueuePolicy& policy = terms.policy;
+  // A text, since a revision may have 64 bits and a JSON number is exact only
+  // to 53.
+  return {{"revision", std::to_string(terms.revision.value())},
+          {"priority", policy.priority},
+          {"attempts", policy.max_attempts},
+          {"stretch", policy.stretch},
+          {"latency", ToMillis(policy.target_latency)}};
+}
+
+QueueTerms TermsFromJson(const Json& json) {
+  QueueTerms terms;
+  const std::string revision = GetString(json, "revision");
+  std::uint64_t number = 0;
+  const char* const end = revision.data() + revision.size();
+  const auto [parsed, ec] = std::from_chars(revision.data(), end, number);
+  if (ec != std::errc() || parsed != end) ThrowOutOfRange(json);
+  terms.revision = Revision(number);
+  terms.policy.priority = JsonInteger<std::uint32_t>(json.at("priority"));
+  terms.policy.max_attempts = JsonInteger<std::uint32_t>(json.at("attempts"));
+  json.at("stretch").get_to(terms.policy.stretch);
+  terms.policy.target_latency =
+      std::chrono::milliseconds(JsonMillis(json.at("latency")));
+  return terms;
+}
+
 /// Whether shares of the capacity can be computed.
 bool IsUsableCapacity(double capacity) {
   constexpr double kLeast = 1e-6;
@@ -55,8 +83,10 @@
   });
 }
 
-std::string EncodeStoredJob(const QueueId& queue, const JobSpec& spec) {
-  return Dump({{"queue", queue.value()}, {"spec", EncodeJobSpec(spec)}});
+std::string EncodeStoredJob(const StoredJob& job) {
+  Json json{{"queue", job.queue.value()}, {"spec", EncodeJobSpec(job.spec)}};
+  if (job.terms) json["terms"] = ToJson(*job.terms);
+  return Dump(json);
 }
 
 Result<StoredJob> DecodeStoredJob(const std::string& text) {
@@ -64,6 +94,8 @@
   auto job = Decode<StoredJob>(text, [&](const Json& json, StoredJob& record) {
     record.queue = QueueId(GetString(json, "queue"));
     spec_text = GetString(json, "spec");
+    if (const auto it = json.find("terms"); it != json.end())
+      record.terms = TermsFromJson(*it);
   });
   if (!job) return job;
   auto spec = DecodeJobSpec(spec_text);
--- a/libs/jobserver/src/store_records.h
+++ b/libs/jobserver/src/store_records.h
@@ -34,9 +34,12 @@
 struct StoredJob {
   QueueId queue;
   JobSpec spec;
+  /// Terms of the queue at the acceptance, which outlive its entry in the
+  /// configuration. Absent in records of versions that did not write them.
+  std::optional<QueueTerms> terms;
 };
 
-std::string EncodeStoredJob(const QueueId& queue, const JobSpec& spec);
+std::string EncodeStoredJob(const StoredJob& job);
 Result<StoredJob> DecodeStoredJob(const std::string& text);
 
 /// Registration of an entry.
--- a/libs/jobserver/test/job_server_test.cc
+++ b/libs/jobserver/test/job_server_test.cc
@@ -45,8 +45,9 @@
         done(PrefixRead{{}, after});
       });
     };
-    hooks_.store.commit = [this](const Transaction&, Duration,
+    hooks_.store.commit = [this](const Transaction& transaction, Duration,
                                  const StoreCallback<CommitResult>& done) {
+      for (const auto& it : transaction.writes) sent[it.key] = it.value;
       Later([this, done] {
         if (commit_error) return done(Unexpected(commit_error));
         done(CommitResult{.is_committed = true, .version = Version(10)});
@@ -63,7 +64,8 @@
       config.queues.push_back({.id = QueueId("q"),
                                .host = "shop.example",
                                .prefix = "/quotes/",
-                               .pool = PoolId("p")});
+                               .pool = PoolId("p"),
+                               .policy = {.max_attempts = 4}});
       return config;
     };
     hooks_.decode_job = [](std::string_view body) -> Result<JobSpec> {
@@ -126,6 +128,8 @@
   std::error_code commit_error;
   std::error_code read_error;
   std::map<std::string, std::string> values;
+  /// All writes that were sent, by key.
+  std::map<std::string, std::string> sent;
   std::vector<std::string> events;
 
  private:
@@ -218,6 +222,20 @@
                       "confirm the commit"));
 }
 
+TEST_CASE("a job is stored with the terms of its queue") {
+  // Guards against a later owner that has no policy for the job, since its
+  // queue is not in the configuration any more.
+  Server server;
+  server.Start();
+  const std::string path = std::string("/quotes/") + kJob;
+  REQUIRE(server.Ask("POST", path, "good").status == 200);
+  const auto job =
+      DecodeStoredJob(server.sent[std::string("pools/p/jobs/") + kJob]);
+  REQUIRE(job);
+  REQUIRE(job->terms);
+  CHECK(*job->terms == QueueTerms{{.max_attempts = 4}, Revision(7)});
+}
+
 TEST_CASE("a job's state is read from the store when no owner answers") {
   Server server;
   const std::string path = std::string("/quotes/") + kJob;
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -1,5 +1,6 @@
 #include "job_world.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <memory>
 #include <sstream>
@@ -54,9 +55,10 @@
     return options_.run_time / 2 + std::chrono::duration_cast<Duration>(
                                        options_.run_time * random_.Unit());
   };
-  worker_options.fails = [this](const WorkerId&, const TaskKey&,
-                                std::uint32_t) {
-    return random_.Chance(options_.fail_share);
+  worker_options.fails = [this](const WorkerId&, const TaskKey& key,
+                                std::uint32_t run) {
+    return random_.Chance(options_.fail_share) ||
+           (options_.fails && options_.fails(key, run));
   };
   worker_options.crashes_worker = options_.crashes_worker;
   worker_options.on_entry_change = [this](const WorkerId& id) {
@@ -102,7 +104,7 @@
       vms_->Add(vm_ids_.back(), PoolId(PoolName(pool)), id);
     }
   }
-  store_->Put("op/config", "1");
+  PutConfig(FirstConfig());
   entries_.resize(options_.entries);
   overload_settings_.resize(options_.entries);
   disturbed_at_.resize(options_.entries);
@@ -119,9 +121,8 @@
   for (auto& it : entries_) it.reset();
 }
 
-FleetConfig JobWorld::Config() const {
+FleetConfig JobWorld::FirstConfig() {
   FleetConfig config;
-  config.revision = Revision(1);
   for (std::size_t pool = 0; pool < kPools; ++pool) {
     config.pools.push_back({.id = PoolId(PoolName(pool))});
     config.queues.push_back({.id = QueueId("q" + std::to_string(pool)),
@@ -170,8 +171,8 @@
     return is_complete ? "complete" : "running";
   };
   hooks.config_key = "op/config";
-  hooks.decode_config = [this](const std::string&) -> Result<FleetConfig> {
-    return Config();
+  hooks.decode_config = [this](const std::string& text) -> Result<FleetConfig> {
+    return configs_.at(Revision(std::stoull(text)));
   };
   hooks.worker_prefix = "servers/";
   hooks.decode_worker = [](const StoredKey& key) -> Result<ListedWorker> {
@@ -314,6 +315,22 @@
   stopped_entries_.push_back(std::move(entries_[i]));
 }
 
+void JobWorld::PutConfig(FleetConfig config) {
+  const Revision revision(configs_.size() + 1);
+  config.revision = revision;
+  configs_[revision] = std::move(config);
+  // The decoder looks the configuration up by its revision.
+  store_->Put("op/config", std::to_string(revision.value()));
+}
+
+void JobWorld::DropQueue(std::size_t pool) {
+  FleetConfig it = config();
+  std::erase_if(it.queues, [&](const QueueConfig& queue) {
+    return queue.pool == PoolId(PoolName(pool));
+  });
+  PutConfig(std::move(it));
+}
+
 void JobWorld::Submit(std::size_t i, const std::string& job, std::size_t pool,
                       const JobSpec& spec) {
   workers_->SetSize(JobId(job), spec.steps.front().size);
@@ -323,9 +340,21 @@
       workers_->SetLongRunning(JobId(job), s, step.tasks, step.max_unavailable);
     }
   }
-  const QueueId queue("q" + std::to_string(pool));
+  const PoolId pool_id(PoolName(pool));
+  const FleetConfig* const own = entries_[i]->coordinator->config();
+  const FleetConfig& known = own == nullptr ? config() : *own;
+  const auto queue =
+      std::find_if(known.queues.begin(), known.queues.end(),
+                   [&](const QueueConfig& it) { return it.pool == pool_id; });
+  if (queue == known.queues.end()) {
+    outcomes_[job] = AcceptOutcome::kRefused;
+    return;
+  }
   entries_[i]->acceptor->Submit(
-      JobId(job), {PoolId(PoolName(pool)), queue}, EncodeStoredJob(queue, spec),
+      JobId(job), {pool_id, queue->id},
+      EncodeStoredJob({.queue = queue->id,
+                       .spec = spec,
+                       .terms = QueueTerms{queue->policy, known.revision}}),
       [this, job](AcceptOutcome outcome) { outcomes_[job] = outcome; });
 }
 
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -28,6 +28,8 @@
     Duration run_time = std::chrono::milliseconds(800);
     /// Probability that a run of a task fails.
     double fail_share = 0;
+    /// Whether a run of a task fails, in addition to `fail_share`.
+    std::function<bool(const TaskKey&, std::uint32_t run)> fails;
     /// Whether a task crashes each worker that starts it.
     std::function<bool(const TaskKey&)> crashes_worker;
     /// Simulates links of limited rate and the time that an entry takes to
@@ -84,7 +86,16 @@
   void SetDecisionTime(std::size_t i, const std::string& decision,
                        Duration time);
 
+  /// The newest configuration.
+  const FleetConfig& config() const { return configs_.rbegin()->second; }
+  /// Writes a configuration, whose revision becomes the next one.
+  void PutConfig(FleetConfig config);
+  /// Writes the newest configuration without the queue of a pool.
+  void DropQueue(std::size_t pool);
+
   /// Submits a job at entry `i`; outcome() returns the result once it is known.
+  /// The job is refused when the entry's configuration, or the newest one if it
+  /// has none yet, has no queue for the pool.
   void Submit(std::size_t i, const std::string& job, std::size_t pool,
               const JobSpec& spec);
   std::optional<AcceptOutcome> outcome(const std::string& job) const;
@@ -135,7 +146,7 @@
     std::map<std::string, Duration, std::less<>> decision_times;
   };
 
-  FleetConfig Config() const;
+  static FleetConfig FirstConfig();
   PlatformHooks ConnectHooks(std::size_t i, Entry& entry);
   /// Advances virtual time for the rest of the deployment by the duration set
   /// for the decision.
@@ -151,6 +162,8 @@
   Options options_;
   VirtualTimerService time_;
   Random random_;
+  /// All configurations that were written, by revision.
+  std::map<Revision, FleetConfig> configs_;
   std::unique_ptr<FakeKvStore> store_;
   std::unique_ptr<FakeWorkers> workers_;
   std::unique_ptr<FakeVms> vms_;
--- a/libs/jobserver/test/order_rights_test.cc
+++ b/libs/jobserver/test/order_rights_test.cc
@@ -119,7 +119,7 @@
                       .address = "w:1"}});
     it.timers.Advance(seconds(2));
     it.store_.Put(JobKey(kPool, JobId("00000000000000aa")),
-                  EncodeStoredJob(kQueue, ChainJob(1, 1)));
+                  EncodeStoredJob({.queue = kQueue, .spec = ChainJob(1, 1)}));
     it.timers.Advance(seconds(1));
     CHECK((it.orders == 0) == outlasts);
   }
--- a/libs/jobserver/test/store_records_mutation_test.cc
+++ b/libs/jobserver/test/store_records_mutation_test.cc
@@ -77,9 +77,16 @@
   load.lightly_loaded = {{WorkerId("v"), 500}};
   MemberRecord member;
   member.peer_address = "10.0.0.1:80";
+  const StoredJob job{.queue = QueueId("q"),
+                      .spec = spec,
+                      .terms = QueueTerms{{.priority = 1,
+                                           .max_attempts = 4,
+                                           .stretch = 2,
+                                           .target_latency = time},
+                                          Revision(7)}};
   using Text = const std::string&;
   return {
-      {EncodeStoredJob(QueueId("q"), spec),
+      {EncodeStoredJob(job),
        [](Text it) { return DecodeStoredJob(it).has_value(); }},
       {EncodeJobSpec(spec),
        [](Text it) { return DecodeJobSpec(it).has_value(); }},
@@ -127,8 +134,11 @@
   spec.steps.resize(2);
   spec.steps[1].after = {0};
   spec.steps[1].estimate = std::chrono::milliseconds(900);
-  DecodeMutations(EncodeStoredJob(QueueId("q"), spec),
-                  [](const std::string& it) { DecodeStoredJob(it); });
+  DecodeMutations(
+      EncodeStoredJob({.queue = QueueId("q"),
+                       .spec = spec,
+                       .terms = QueueTerms{{.max_attempts = 4}, Revision(7)}}),
+      [](const std::string& it) { DecodeStoredJob(it); });
   JobProgress progress;
   progress.phase = JobPhase::kRunning;
   progress.tasks = {{.failed_runs = {4}},
