Tell a repeated submission where its job is stored

The acceptor now hands on the location that the store has for the id, which the failed condition of the transaction returns anyway.

Failed before: job_acceptor_test, "a repeated submission is told where the job is stored" (with the former location handed on, on a scratch copy).

--- a/libs/jobserver/src/job_acceptor.cc
+++ b/libs/jobserver/src/job_acceptor.cc
@@ -1,6 +1,7 @@
 #include "job_acceptor.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -52,7 +53,7 @@
       : client_(client), timers_(timers), hooks_(std::move(hooks)) {}
 
   void Submit(PendingJob job) {
-    if (health_ == StoreHealth::kDown) return job.done(AcceptOutcome::kRefused);
+    if (health_ == StoreHealth::kDown) return End(job, AcceptOutcome::kRefused);
     job.submitted_at = timers_.Now();
     pending_.push_back(std::move(job));
     if (!is_commit_in_flight_) Commit();
@@ -61,6 +62,15 @@
   std::size_t pending_jobs() const { return pending_.size(); }
 
  private:
+  void End(const PendingJob& job, AcceptOutcome outcome) {
+    End(job, outcome, job.location);
+  }
+
+  void End(const PendingJob& job, AcceptOutcome outcome,
+           const JobLocation& location) {
+    job.done(outcome, location);
+  }
+
   void Commit() {
     if (pending_.empty() || health_ != StoreHealth::kUp) return;
     is_commit_in_flight_ = true;
@@ -102,11 +112,11 @@
       for (PendingJob& it : jobs) OnCommitError(it, is_unknown);
       SuspectStore();
     } else if (result->is_committed) {
-      for (const PendingJob& it : jobs) it.done(AcceptOutcome::kAccepted);
+      for (const PendingJob& it : jobs) End(it, AcceptOutcome::kAccepted);
     } else {
       for (PendingJob& it : jobs) {
-        if (IsAlreadyStored(it, *result)) {
-          it.done(AcceptOutcome::kAccepted);
+        if (const auto stored = FindStoredLocation(it, *result)) {
+          End(it, AcceptOutcome::kAccepted, *stored);
         } else {
           pending_.push_front(std::move(it));
         }
@@ -115,22 +125,25 @@
     if (!is_commit_in_flight_) Commit();
   }
 
-  static bool IsAlreadyStored(const PendingJob& job,
-                              const CommitResult& result) {
+  /// Returns the location of the job's id in the store; nullopt when the id is
+  /// unused.
+  static std::optional<JobLocation> FindStoredLocation(
+      const PendingJob& job, const CommitResult& result) {
     const std::string key = JobLocationKey(job.id);
-    return std::any_of(result.current.begin(), result.current.end(),
-                       [&](const StoredKey& it) {
-                         return it.key == key && it.version != Version();
-                       });
+    for (const StoredKey& it : result.current) {
+      if (it.key != key || it.version == Version()) continue;
+      return DecodeJobLocation(it.value).value_or(job.location);
+    }
+    return std::nullopt;
   }
 
   void OnCommitError(PendingJob& job, bool is_unknown) {
     job.may_be_stored |= is_unknown;
-    if (!job.may_be_stored) return job.done(AcceptOutcome::kRefused);
+    if (!job.may_be_stored) return End(job, AcceptOutcome::kRefused);
     // Unless is_unknown, this commit took no effect for certain, but an earlier
     // one may have.
     if (!is_unknown || timers_.Now() - job.submitted_at >= kOutcomeTimeout)
-      return job.done(AcceptOutcome::kUnknown);
+      return End(job, AcceptOutcome::kUnknown);
     // Committing again is safe: the commit conflicts with the job's key if an
     // earlier one took effect.
     pending_.push_front(std::move(job));
@@ -180,9 +193,9 @@
     std::deque<PendingJob> kept;
     for (PendingJob& it : std::exchange(pending_, {})) {
       if (!it.may_be_stored) {
-        it.done(AcceptOutcome::kRefused);
+        End(it, AcceptOutcome::kRefused);
       } else if (timers_.Now() - it.submitted_at >= kOutcomeTimeout) {
-        it.done(AcceptOutcome::kUnknown);
+        End(it, AcceptOutcome::kUnknown);
       } else {
         kept.push_back(std::move(it));
       }
--- a/libs/jobserver/src/job_acceptor.h
+++ b/libs/jobserver/src/job_acceptor.h
@@ -39,7 +39,10 @@
 /// when its outcome is still unknown 1.2 s after its submission.
 class JobAcceptor {
  public:
-  using Done = std::function<void(AcceptOutcome)>;
+  /// `location` is that of the stored job for kAccepted, which an earlier
+  /// submission of its id may have brought to another pool, and that of the
+  /// submission for other outcomes.
+  using Done = std::function<void(AcceptOutcome, const JobLocation& location)>;
 
   JobAcceptor(const TransactionClient& client, TimerService& timers,
               JobAcceptorHooks hooks = {});
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -299,7 +299,8 @@
                          .spec = *spec,
                          .terms = QueueTerms{api_request.queue->policy,
                                              coordinator_.config()->revision}}),
-        [this, reply, location, job = api_request.job](AcceptOutcome outcome) {
+        [this, reply, job = api_request.job](AcceptOutcome outcome,
+                                             const JobLocation& stored) {
           if (outcome == AcceptOutcome::kRefused)
             return reply(
                 RetryableError(503),
@@ -308,7 +309,7 @@
             return reply(
                 RetryableError(504),
                 "outcome unknown: the store did not confirm the commit");
-          lookup_.CacheLocation(job, location);
+          lookup_.CacheLocation(job, stored);
           reply(JsonResponse("{}"), "stored");
         });
   }
--- a/libs/jobserver/test/job_acceptor_test.cc
+++ b/libs/jobserver/test/job_acceptor_test.cc
@@ -19,6 +19,7 @@
   Instant began{};
   std::optional<Instant> ended;
   AcceptOutcome outcome = AcceptOutcome::kUnknown;
+  JobLocation location;
 
   Duration took() const { return ended.value_or(Instant::max()) - began; }
 };
@@ -33,18 +34,24 @@
                    availability_changes.push_back(is_up);
                  }}) {}
 
+  void Submit(std::size_t n) {
+    requests[n].began = time.Now();
+    requests[n].ended.reset();
+    acceptor.Submit(JobId("j" + std::to_string(n)), location, "{}",
+                    [this, n](AcceptOutcome outcome, const JobLocation& it) {
+                      requests[n].ended = time.Now();
+                      requests[n].outcome = outcome;
+                      requests[n].location = it;
+                    });
+  }
+
   /// Submits a job every 20 ms.
   void Run(Duration duration) {
     for (Duration left = duration; left > Duration(0);
          left -= milliseconds(20)) {
       const std::size_t n = requests.size();
-      requests.push_back({.began = time.Now()});
-      acceptor.Submit(JobId("j" + std::to_string(n)),
-                      {PoolId("p"), QueueId("q")}, "{}",
-                      [this, n](AcceptOutcome outcome) {
-                        requests[n].ended = time.Now();
-                        requests[n].outcome = outcome;
-                      });
+      requests.emplace_back();
+      Submit(n);
       time.Advance(milliseconds(20));
     }
   }
@@ -55,6 +62,7 @@
   TransactionClient client;
   std::vector<bool> availability_changes;
   JobAcceptor acceptor;
+  JobLocation location{PoolId("p"), QueueId("q")};
   std::vector<Request> requests;
 };
 
@@ -128,4 +136,17 @@
   }
 }
 
+TEST_CASE("a repeated submission is told where the job is stored") {
+  // Guards against a job that is looked up and cancelled in the pool to which
+  // its queue has moved since its acceptance.
+  AcceptorFixture it;
+  it.Run(milliseconds(20));
+  const JobLocation first = it.location;
+  it.location.pool = PoolId("other");
+  it.Submit(0);
+  it.time.Advance(milliseconds(200));
+  CHECK(it.requests[0].outcome == AcceptOutcome::kAccepted);
+  CHECK(it.requests[0].location == first);
+}
+
 }  // namespace pomelomill
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -355,7 +355,9 @@
       EncodeStoredJob({.queue = queue->id,
                        .spec = spec,
                        .terms = QueueTerms{queue->policy, known.revision}}),
-      [this, job](AcceptOutcome outcome) { outcomes_[job] = outcome; });
+      [this, job](AcceptOutcome outcome, const JobLocation&) {
+        outcomes_[job] = outcome;
+      });
 }
 
 std::optional<AcceptOutcome> JobWorld::outcome(const std::string& job) const {
