Remember submissions whose commit has no answer

It comes again at the same entry, the store is known to be down by then, and it gets 503, which promises that the job never runs, though the first commit may stand. Or the caller cancels it, the store does not have it yet, and the answer is 410; the commit is carried out late and the job runs.

Cause: what one request learned about a job, that its outcome is unknown, was forgotten with that request, and the next one took the refusal of its own copy for that of the job.

The acceptor remembers up to 2,048 such jobs. Until the store confirms one, a submission of it ends as unknown and never as refused; for 13 s, while a late commit may be carried out, a question or a cancellation gets 503 with Retry-After in place of 410.

What remains: another entry does not know of it. Calls between entries are reads only, so no entry passes on an outcome that it cannot tell.

--- a/libs/jobserver/src/job_acceptor.cc
+++ b/libs/jobserver/src/job_acceptor.cc
@@ -1,6 +1,7 @@
 #include "job_acceptor.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -24,6 +25,12 @@
 /// 1.5 times the response time of a slow store.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(450);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
+/// A call without an answer may be carried out seconds later; as for orders to
+/// workers.
+constexpr Duration kLateCommitLifetime = std::chrono::seconds(13);
+/// About 200 kB; the jobs that end as kUnknown until an outage is noticed are
+/// far fewer.
+constexpr std::size_t kMaxRememberedUnknown = 2'048;
 
 /// Availability of the store, judged by the latest commits and probes.
 enum class StoreHealth {
@@ -53,7 +60,11 @@
       : client_(client), timers_(timers), hooks_(std::move(hooks)) {}
 
   void Submit(PendingJob job) {
-    if (health_ == StoreHealth::kDown) return End(job, AcceptOutcome::kRefused);
+    job.may_be_stored = unknown_.contains(job.id);
+    if (health_ == StoreHealth::kDown) {
+      return End(job, job.may_be_stored ? AcceptOutcome::kUnknown
+                                        : AcceptOutcome::kRefused);
+    }
     job.submitted_at = timers_.Now();
     pending_.push_back(std::move(job));
     if (!is_commit_in_flight_) Commit();
@@ -61,6 +72,12 @@
 
   std::size_t pending_jobs() const { return pending_.size(); }
 
+  bool MayBecomeStored(const JobId& job) const {
+    const auto it = unknown_.find(job);
+    return it != unknown_.end() &&
+           timers_.Now() - it->second < kLateCommitLifetime;
+  }
+
  private:
   void End(const PendingJob& job, AcceptOutcome outcome) {
     End(job, outcome, job.location);
@@ -68,9 +85,22 @@
 
   void End(const PendingJob& job, AcceptOutcome outcome,
            const JobLocation& location) {
+    if (outcome == AcceptOutcome::kUnknown) {
+      RememberUnknown(job.id);
+    } else if (outcome == AcceptOutcome::kAccepted) {
+      unknown_.erase(job.id);
+    }
     job.done(outcome, location);
   }
 
+  void RememberUnknown(const JobId& job) {
+    if (!unknown_.insert_or_assign(job, timers_.Now()).second) return;
+    unknown_order_.push_back(job);
+    if (unknown_order_.size() <= kMaxRememberedUnknown) return;
+    unknown_.erase(unknown_order_.front());
+    unknown_order_.pop_front();
+  }
+
   void Commit() {
     if (pending_.empty() || health_ != StoreHealth::kUp) return;
     is_commit_in_flight_ = true;
@@ -209,6 +239,11 @@
   AdaptiveCommitter committer_{client_, timers_};
   JobAcceptorHooks hooks_;
   std::deque<PendingJob> pending_;
+  /// Jobs that have ended as kUnknown and not as kAccepted since, at most
+  /// kMaxRememberedUnknown, and when they did last.
+  std::map<JobId, Instant> unknown_;
+  /// In the order of their first end; includes some that `unknown_` lacks.
+  std::deque<JobId> unknown_order_;
   StoreHealth health_ = StoreHealth::kUp;
   Instant probed_at_{};
   bool is_commit_in_flight_ = false;
@@ -227,6 +262,10 @@
                  .done = std::move(done)});
 }
 
+bool JobAcceptor::MayBecomeStored(const JobId& job) const {
+  return impl_->MayBecomeStored(job);
+}
+
 std::size_t JobAcceptor::pending_jobs() const { return impl_->pending_jobs(); }
 
 }  // namespace pomelomill
--- a/libs/jobserver/src/job_acceptor.h
+++ b/libs/jobserver/src/job_acceptor.h
@@ -36,7 +36,8 @@
 /// sent are refused, and new jobs are refused at once until a probe succeeds. A
 /// job whose commit had an unknown outcome is committed again when the store is
 /// back. It ends as kUnknown when a later commit is rejected for certain, or
-/// when its outcome is still unknown 1.2 s after its submission.
+/// when its outcome is still unknown 1.2 s after its submission. A later
+/// submission of its id is not refused either, as its first one may stand.
 class JobAcceptor {
  public:
   /// `location` is that of the stored job for kAccepted, which an earlier
@@ -55,6 +56,10 @@
   /// down.
   void Submit(const JobId& id, const JobLocation& location,
               std::string encoded_job, Done done);
+  /// Whether a submission of the job ended as kUnknown so shortly ago that the
+  /// store may still carry its commit out: that the store does not have the job
+  /// now proves nothing.
+  bool MayBecomeStored(const JobId& job) const;
   /// Number of jobs that wait for a transaction, including those to be
   /// committed again.
   std::size_t pending_jobs() const;
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -317,14 +317,24 @@
   void GetJobState(const JobApiRequest& api_request, const ReplyHook& reply) {
     lookup_.FindPhase(
         api_request.job, {api_request.queue->pool, api_request.queue->id},
-        [this, reply](const Result<std::optional<JobPhase>>& phase) {
+        [this, reply,
+         job = api_request.job](const Result<std::optional<JobPhase>>& phase) {
           if (!phase)
             return reply(RetryableError(503), phase.error().message());
-          if (!*phase) return reply({.status = 410}, "no such job");
+          if (!*phase) return ReplyNotStored(job, reply);
           reply(JsonResponse(platform_.encode_phase(**phase)), ToText(**phase));
         });
   }
 
+  /// Answers a request for a job that the store does not have.
+  void ReplyNotStored(const JobId& job, const ReplyHook& reply) {
+    if (acceptor_.MayBecomeStored(job)) {
+      return reply(RetryableError(503),
+                   "not stored, but a commit of the job has no answer yet");
+    }
+    reply({.status = 410}, "no such job");
+  }
+
   void GetWaitingCount(const JobApiRequest& api_request,
                        const ReplyHook& reply) {
     lookup_.FindWaitingJobs(
@@ -344,7 +354,7 @@
             const Result<std::optional<JobLocation>>& location) {
           if (!location)
             return reply(RetryableError(503), location.error().message());
-          if (!*location) return reply({.status = 410}, "no such job");
+          if (!*location) return ReplyNotStored(job, reply);
           Transaction transaction;
           transaction.writes = {{CancelKey((*location)->pool, job), "1", {}}};
           platform_.store.commit(std::move(transaction), kStoreTimeout,
--- a/libs/jobserver/test/job_acceptor_test.cc
+++ b/libs/jobserver/test/job_acceptor_test.cc
@@ -136,6 +136,33 @@
   }
 }
 
+TEST_CASE("a job that may be stored is not refused when it is sent again") {
+  // Guards against REFUSED: the first submission was answered as unknown and
+  // stands, and the second, in the outage that followed, is told that the job
+  // never runs.
+  AcceptorFixture it;
+  it.faults.late = seconds(4);
+  it.Run(milliseconds(40));
+  it.time.Advance(seconds(2));
+  it.faults.is_resetting = true;
+  it.Run(seconds(1));
+  for (std::size_t n : {0U, 1U}) {
+    CAPTURE(n);
+    REQUIRE(it.requests[n].outcome == AcceptOutcome::kUnknown);
+    it.Submit(n);
+    it.time.Advance(milliseconds(1'500));
+    REQUIRE(it.requests[n].ended);
+    CHECK(it.requests[n].outcome == AcceptOutcome::kUnknown);
+  }
+  it.faults = {};
+  it.time.Advance(seconds(4));
+  for (std::size_t n : {0U, 1U}) {
+    it.Submit(n);
+    it.time.Advance(milliseconds(500));
+    CHECK(it.requests[n].outcome == AcceptOutcome::kAccepted);
+  }
+}
+
 TEST_CASE("a repeated submission is told where the job is stored") {
   // Guards against a job that is looked up and cancelled in the pool to which
   // its queue has moved since its acceptance.
--- a/libs/jobserver/test/job_server_test.cc
+++ b/libs/jobserver/test/job_server_test.cc
@@ -222,6 +222,23 @@
                       "confirm the commit"));
 }
 
+TEST_CASE("a job whose commit has no answer is not said to be missing") {
+  // Guards against 410 for a cancellation whose job is stored a moment later
+  // and then runs.
+  Server server;
+  server.Start();
+  const std::string path = std::string("/quotes/") + kJob;
+  server.commit_error = StoreError::kOutcomeUnknown;
+  REQUIRE(server.Ask("POST", path, "good").status == 504);
+  for (const char* method : {"DELETE", "GET"}) {
+    CAPTURE(method);
+    const auto response = server.Ask(method, path);
+    CHECK(response.status == 503);
+    CHECK(response.header("Retry-After") == "1");
+    CHECK(server.Ask(method, "/quotes/00000000000000bb").status == 410);
+  }
+}
+
 TEST_CASE("a job is stored with the terms of its queue") {
   // Guards against a later owner that has no policy for the job, since its
   // queue is not in the configuration any more.
