Stop no inherited task that may not start elsewhere

Cause: MayEvacuate() let tasks leave a draining worker at once, whatever the state of the takeover, as a draining worker is exempt from the limit on unavailable tasks. But no inherited task starts anywhere before all workers of the roster have reported or are certainly gone.

A long-running task of an inherited job now stays where it runs until the takeover is complete. If its worker leaves before, it ends then, not earlier.

Failed before: dispatcher_test, "a new owner stops no task that it may not start elsewhere", 2 assertions (on a scratch copy without the line).

--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -59,6 +59,8 @@
   // no tasks.
   if (Search(now, plan).Choose(spec, step, step.tasks[key.index]) == nullptr)
     return false;
+  // It would not be started elsewhere before all workers have reported.
+  if (job.is_inherited && !awaited_workers_.empty()) return false;
   if (is_draining) return true;
   const bool is_taking_over =
       !awaited_workers_.empty() ||
--- a/libs/dispatch/test/dispatcher_test.cc
+++ b/libs/dispatch/test/dispatcher_test.cc
@@ -230,6 +230,38 @@
   CHECK(dispatcher.Plan(At(2000), 0).stops.size() == 1);
 }
 
+TEST_CASE("a new owner stops no task that it may not start elsewhere") {
+  // Guards against LOST: long-running tasks on draining workers are stopped
+  // right after a takeover, and none is started until the lease of a silent
+  // worker has lapsed, 11.3 s later.
+  Dispatcher dispatcher({});
+  dispatcher.SetQueue(QueueId("q"), {{.max_attempts = 2}});
+  const WorkerId silent = Pool::Worker(2);
+  dispatcher.AwaitWorkerReports({Pool::Worker(0), silent});
+  dispatcher.SetListedWorkers(
+      {{.id = Pool::Worker(0), .capacity = kCapacity, .is_draining = true},
+       {.id = Pool::Worker(1), .capacity = kCapacity}});
+  StepSpec step = Tasks(1);
+  step.is_long_running = true;
+  AddedJob job = Job("a", {step});
+  job.is_inherited = true;
+  dispatcher.AddJob(job, At(0));
+  std::int64_t clock = 0;
+  const auto report = [&](int ms) {
+    WorkerReport it{.clock_ms = ++clock, .started_ms = 1};
+    dispatcher.OnReport(Pool::Worker(1), it, At(ms), 0);
+    it.running.push_back(
+        {.key = {JobId("a"), 0, 0, 0}, .run = 1, .speed_percent = 100});
+    dispatcher.OnReport(Pool::Worker(0), it, At(ms), 0);
+  };
+  report(100);
+  CHECK(dispatcher.Plan(At(100), 0).stops.empty());
+  report(5'000);
+  CHECK(dispatcher.Plan(At(5'000), 0).stops.empty());
+  dispatcher.OnWorkerGone(silent, WorkerLoss::kLeaseExpired, At(6'000), 0);
+  CHECK(dispatcher.Plan(At(6'000), 0).stops.size() == 1);
+}
+
 TEST_CASE("a run that a truncated report does not list is not over") {
   // Guards against a second run of a finished task. A worker reports its ends
   // in parts, and a later part may contain the end of a task that is not
