Remember former owners when a pool comes back

Cause: the bound for owners before the previous one is forgotten with the PoolOwner unless the roster says that they are gone. That note is stored 5 s after a takeover; here the store was away by then.

The coordinator keeps, for each pool, what its latest ownership knew: the number of owners and the time after which none before it extends a lease. If the roster still names this process with that number, no other owner was in between, and the bound holds again; the process itself sends no orders under an ownership that has ended. Any other record gives the long bound as before.

--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -203,6 +203,7 @@
   void StartPoolOwner(const PoolId& pool, FencingToken token,
                       const LeaseId& lease) {
     if (pool == PoolId(kFleetRole)) return StartFleetManager(token, lease);
+    DropPoolOwner(pool);
     auto owner = std::make_unique<PoolOwner>(
         platform_, timers_, settings_, pool, token,
         PoolOwnerHooks{
@@ -220,6 +221,7 @@
                          view_.HasStopped(it, Version(token.value()));
                 },
             .incarnation = incarnation_,
+            .former = FormerOwnershipOf(pool),
             .wall_ms = hooks_.wall_ms,
             .event = hooks_.event,
             .time = hooks_.on_job_time,
@@ -231,6 +233,20 @@
     worker_directory_.Start();
   }
 
+  void DropPoolOwner(const PoolId& pool) {
+    const auto it = pools_.find(pool);
+    if (it == pools_.end()) return;
+    if (const auto ended = it->second->ownership())
+      former_ownerships_[pool] = *ended;
+    pools_.erase(it);
+  }
+
+  std::optional<FormerOwnership> FormerOwnershipOf(const PoolId& pool) const {
+    const auto it = former_ownerships_.find(pool);
+    if (it == former_ownerships_.end()) return std::nullopt;
+    return it->second;
+  }
+
   void HandOver(const PoolId& pool, const std::function<void()>& done) {
     // The fleet role needs no final write.
     if (pool == PoolId(kFleetRole)) fleet_manager_.reset();
@@ -287,7 +303,7 @@
       const auto self = weak.lock();
       if (self == nullptr || self->is_halted_) return;
       if (pool == PoolId(kFleetRole)) self->fleet_manager_.reset();
-      self->pools_.erase(pool);
+      self->DropPoolOwner(pool);
       if (self->pools_.empty()) self->worker_directory_.Stop();
     });
   }
@@ -300,6 +316,8 @@
   ClusterView view_;
   std::optional<FleetConfig> fleet_config_;
   std::map<PoolId, std::unique_ptr<PoolOwner>> pools_;
+  /// The latest ended ownership of each pool by this process.
+  std::map<PoolId, FormerOwnership> former_ownerships_;
   std::unique_ptr<FleetManager> fleet_manager_;
   LeaseKeeper lease_;
   Ownership ownership_;
--- a/libs/jobserver/src/inherited_leases.cc
+++ b/libs/jobserver/src/inherited_leases.cc
@@ -21,7 +21,16 @@
       has_stopped_(std::move(has_stopped)),
       extended_until_(timers.Now() + settings.order_grace) {}
 
-void InheritedLeases::SetPrevious(const RosterRecord& previous) {
+void InheritedLeases::SetPrevious(
+    const RosterRecord& previous,
+    const std::optional<FormerOwnership>& former) {
+  if (former && previous.owner == former->owner &&
+      previous.owner_count == former->owner_count) {
+    // The process is the previous owner and sends no orders as such any more.
+    extended_until_ = std::min(extended_until_,
+                               std::max(timers_.Now(), former->extended_until));
+    return;
+  }
   if (!previous.are_earlier_owners_gone) return;
   if (previous.is_released) {
     extended_until_ = std::min(extended_until_, timers_.Now());
--- a/libs/jobserver/src/inherited_leases.h
+++ b/libs/jobserver/src/inherited_leases.h
@@ -9,6 +9,15 @@
 
 namespace pomelomill {
 
+/// An ownership of a pool that this process had before, as its owner knew it.
+struct FormerOwnership {
+  OwnerRecord owner;
+  /// RosterRecord::owner_count of that ownership.
+  std::uint32_t owner_count = 0;
+  /// No owner before that one extends a lease after this time.
+  Instant extended_until{};
+};
+
 /// Bounds the leases that earlier owners of a pool may have given its workers.
 ///
 /// An owner extends leases for JobServiceSettings::order_grace after the time
@@ -25,8 +34,10 @@
                   const TimerService& timers,
                   std::function<bool(const OwnerRecord&)> has_stopped);
 
-  /// Takes over what the previous owner left.
-  void SetPrevious(const RosterRecord& previous);
+  /// Takes over what the previous owner left. If that was this process, as
+  /// `former` tells, its predecessors are bounded by what it knew of them.
+  void SetPrevious(const RosterRecord& previous,
+                   const std::optional<FormerOwnership>& former = {});
   /// Asks has_stopped() again. Returns whether the bound has become tighter.
   bool Update();
 
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -55,6 +55,7 @@
         token_(token),
         hooks_(std::move(hooks)),
         orders_(platform_.workers, timers_, MakeOrderHooks()),
+        self_{settings.entry, hooks_.incarnation},
         newest_token_(token),
         leases_(settings, timers, hooks_.has_stopped),
         plans_(timers_, kMinPlanInterval, [this] {
@@ -64,11 +65,12 @@
   void Start(const FleetConfig& config) {
     config_ = config;
     roster_.emplace(
-        platform_.store, timers_, pool_, token_,
-        OwnerRecord{.entry = settings_.entry,
-                    .incarnation = hooks_.incarnation},
+        platform_.store, timers_, pool_, token_, self_,
         PoolRosterHooks{
-            .on_read = [this](const auto& it) { leases_.SetPrevious(it); },
+            .on_read =
+                [this](const auto& it) {
+                  leases_.SetPrevious(it, hooks_.former);
+                },
             .alone_from = [this] { return leases_.extended_until(); },
             .on_loaded = [this] { LoadProgress(); },
             .on_stored = [this] { ApplyList(); },
@@ -140,6 +142,13 @@
 
   bool is_loaded() const { return is_loaded_; }
 
+  std::optional<FormerOwnership> ownership() const {
+    if (!roster_ || roster_->current().owner != self_) return std::nullopt;
+    return FormerOwnership{.owner = self_,
+                           .owner_count = roster_->current().owner_count,
+                           .extended_until = leases_.extended_until()};
+  }
+
   std::optional<JobPhase> ShownPhase(const JobId& job) const {
     return dispatcher_ ? dispatcher_->ShownPhase(job) : std::nullopt;
   }
@@ -537,6 +546,7 @@
   const FencingToken token_;
   PoolOwnerHooks hooks_;
   OrderSender orders_;
+  const OwnerRecord self_;
   /// The store's version of the latest write that this owner made on condition
   /// that it owns the pool: higher than its own token, lower than that of any
   /// later owner.
@@ -588,6 +598,9 @@
 void PoolOwner::Release(std::function<void()> done) {
   impl_->Release(std::move(done));
 }
+std::optional<FormerOwnership> PoolOwner::ownership() const {
+  return impl_->ownership();
+}
 bool PoolOwner::is_loaded() const { return impl_->is_loaded(); }
 std::optional<JobPhase> PoolOwner::ShownPhase(const JobId& job) const {
   return impl_->ShownPhase(job);
--- a/libs/jobserver/src/pool_owner.h
+++ b/libs/jobserver/src/pool_owner.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "inherited_leases.h"
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/config/job_service_settings.h"
@@ -32,6 +33,8 @@
   std::function<bool(const OwnerRecord&)> has_stopped;
   /// Incarnation of this process.
   IncarnationId incarnation;
+  /// The latest ownership of the pool that this process had before, if any.
+  std::optional<FormerOwnership> former;
   /// Unix time in milliseconds.
   std::function<std::int64_t()> wall_ms;
   EventHook event;
@@ -64,6 +67,9 @@
   /// key. `done` runs when the store has responded or after one second.
   void Release(std::function<void()> done);
 
+  /// What a later ownership of the pool by this process may rely on; empty
+  /// while the roster that names this one is not stored.
+  std::optional<FormerOwnership> ownership() const;
   /// Whether all jobs of the pool have been loaded.
   bool is_loaded() const;
   /// The job's phase as it may be shown to callers; empty for an unknown job.
--- a/libs/jobserver/src/store_records.h
+++ b/libs/jobserver/src/store_records.h
@@ -61,6 +61,8 @@
 struct OwnerRecord {
   EntryId entry;
   IncarnationId incarnation;
+
+  bool operator==(const OwnerRecord&) const = default;
 };
 
 std::string EncodeOwner(const OwnerRecord& owner);
--- a/libs/jobserver/test/inherited_lease_test.cc
+++ b/libs/jobserver/test/inherited_lease_test.cc
@@ -163,6 +163,30 @@
   CHECK(Bound(unknown, true).leases.Remaining() == kOrderGrace + kLongestLease);
 }
 
+TEST_CASE("what a process knew of earlier owners counts if it was the last") {
+  // Guards against TWICE: another owner between two ownerships of one process
+  // may still extend leases.
+  const FormerOwnership former{
+      .owner = kFormer, .owner_count = 3, .extended_until = Instant{}};
+  const auto remaining = [&](const RosterRecord& previous,
+                             const FormerOwnership& known) {
+    Bound it(RosterRecord{});
+    it.leases.SetPrevious(previous, known);
+    return it.leases.Remaining();
+  };
+  const RosterRecord own{.owner_count = 3, .owner = kFormer};
+  CHECK(remaining(own, former) == kLongestLease);
+  FormerOwnership later = former;
+  later.extended_until = VirtualTimerService().Now() + seconds(2);
+  CHECK(remaining(own, later) == seconds(2) + kLongestLease);
+  RosterRecord other = own;
+  other.owner_count = 4;
+  CHECK(remaining(other, former) == kOrderGrace + kLongestLease);
+  other = own;
+  other.owner->incarnation = IncarnationId("another");
+  CHECK(remaining(other, former) == kOrderGrace + kLongestLease);
+}
+
 TEST_CASE("a new registration of an entry ends its former ownerships") {
   ClusterView view;
   const auto add_member = [&](const IncarnationId& incarnation,
@@ -289,6 +313,28 @@
   it.CheckRules();
 }
 
+// Guards against a wait of 11.3 s that begins anew when an owner loses its
+// pool to an outage of the store and gets it back.
+TEST_CASE("an owner that gets its pool back knows how its predecessors ended") {
+  CrashBeforeTakeover it;
+  it.CrashWorker();
+  it.Advance(milliseconds(50));
+  it.world.KillEntry(it.owner);
+  it.AwaitTakeover(static_cast<int>(it.owner));
+  const auto second = static_cast<std::size_t>(it.world.Owner(0));
+  for (std::size_t i = 0; i < 3; ++i)
+    if (i != second && i != it.owner) it.world.KillEntry(i);
+  it.Advance(seconds(4));
+  it.world.store_faults(second).is_turned_away = true;
+  it.Advance(seconds(2));
+  it.world.store().RevokeLeases();
+  it.world.store_faults(second).is_turned_away = false;
+  it.AwaitTakeover(-1);
+  REQUIRE(it.world.Owner(0) == static_cast<int>(second));
+  CHECK(it.TimeUntilRestart() < kLongestLease + kReaction);
+  it.CheckRules();
+}
+
 TEST_CASE("a worker whose end the former owner knew is not awaited") {
   for (const bool is_known : {false, true}) {
     CAPTURE(is_known);
