--- a/libs/dispatch/test/job_terms_test.cc
+++ b/libs/dispatch/test/job_terms_test.cc
@@ -45,14 +45,14 @@
   /// Makes one plan and ends each started run as failed; returns the starts.
   std::vector<StartOrder> RunOnce() {
     // Past the delays that follow a failed run.
-    now_ms += 10'000;
-    const DispatchPlan plan = dispatcher.Plan(At(now_ms), 0);
+    now_ms_ += 10'000;
+    const DispatchPlan plan = dispatcher.Plan(At(now_ms_), 0);
     for (const StartOrder& it : plan.starts) {
       dispatcher.OnStartResult(it.worker, it.key, it.run,
-                               StartOutcome::kStarted, ++clock, At(now_ms));
+                               StartOutcome::kStarted, ++clock_, At(now_ms_));
     }
     for (const StartOrder& it : plan.starts) {
-      Report(it.worker, {{.number = ++ends,
+      Report(it.worker, {{.number = ++ends_,
                           .key = it.key,
                           .run = it.run,
                           .outcome = RunOutcome::kFailed}});
@@ -78,13 +78,13 @@
   void Report(const WorkerId& worker, std::vector<EndedTask> ended) {
     dispatcher.OnReport(
         worker,
-        {.clock_ms = ++clock, .started_ms = 1, .ended = std::move(ended)},
-        At(now_ms), 0);
+        {.clock_ms = ++clock_, .started_ms = 1, .ended = std::move(ended)},
+        At(now_ms_), 0);
   }
 
-  std::uint64_t ends = 0;
-  std::int64_t clock = 0;
-  int now_ms = 0;
+  std::uint64_t ends_ = 0;
+  std::int64_t clock_ = 0;
+  int now_ms_ = 0;
 };
 
 }  // namespace
