Rank jobs of unknown terms last among their class

A job from a record without terms, whose queue no configuration names, was ranked by the default policy: priority 0, before all others of its class. It now has the lowest priority. Found by reading the diff; job_terms_test, "a job is ranked by its own terms", has the case.

--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -86,7 +86,7 @@
   /// Returns the terms that apply to the job; null when they are unknown.
   const QueueTerms* FindTerms(const TrackedJob& job) const;
   /// Returns the policy by which the job is ranked: that of its terms, else one
-  /// that favours no job.
+  /// of the lowest priority.
   const QueuePolicy& RankingPolicyOf(const TrackedJob& job) const;
   /// Whether the task has failed and its attempts are unknown.
   bool AwaitsTerms(const TrackedJob& job, const StepSpec& step,
@@ -94,9 +94,9 @@
   /// Returns the failed runs that count against the task: its own or those of
   /// its gang, none for a long-running task.
   std::size_t CountFailedRuns(const TrackedJob& job, const TaskKey& key) const;
-  /// Fails the job if the task has used up its attempts; returns whether it
-  /// has. The worker is that of the latest failed run, empty if unknown.
-  bool JudgeFailedRuns(TrackedJob& job, const TaskKey& key,
+  /// Fails the job if the task has used up its attempts. The worker is that of
+  /// the latest failed run, empty if unknown.
+  void JudgeFailedRuns(TrackedJob& job, const TaskKey& key,
                        const WorkerId& worker, Instant now, WallMs wall_ms);
   /// Fails the jobs with a task that has used up its attempts, after terms have
   /// become known or have changed.
--- a/libs/dispatch/src/dispatcher_terms.cc
+++ b/libs/dispatch/src/dispatcher_terms.cc
@@ -1,6 +1,8 @@
 // Terms of jobs: the policy by which a job is ranked and its failed runs are
 // judged.
 
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <utility>
 #include <vector>
@@ -30,9 +32,10 @@
 
 const QueuePolicy& Dispatcher::Impl::RankingPolicyOf(
     const TrackedJob& job) const {
-  static const QueuePolicy neutral;
+  static const QueuePolicy lowest{
+      .priority = std::numeric_limits<std::uint32_t>::max()};
   const QueueTerms* const terms = FindTerms(job);
-  return terms == nullptr ? neutral : terms->policy;
+  return terms == nullptr ? lowest : terms->policy;
 }
 
 bool Dispatcher::Impl::AwaitsTerms(const TrackedJob& job, const StepSpec& step,
@@ -53,20 +56,19 @@
   return runs.size();
 }
 
-bool Dispatcher::Impl::JudgeFailedRuns(TrackedJob& job, const TaskKey& key,
+void Dispatcher::Impl::JudgeFailedRuns(TrackedJob& job, const TaskKey& key,
                                        const WorkerId& worker, Instant now,
                                        WallMs wall_ms) {
   const QueueTerms* const terms = FindTerms(job);
-  if (terms == nullptr) return false;
+  if (terms == nullptr) return;
   const std::size_t failed = CountFailedRuns(job, key);
-  if (failed < terms->policy.max_attempts) return false;
+  if (failed < terms->policy.max_attempts) return;
   RecordEvent("job-failed", key, FindTask(job, key)->run, worker,
               std::to_string(failed) + " failed runs of " +
                   std::to_string(terms->policy.max_attempts) + " in revision " +
                   std::to_string(terms->revision.value()) +
                   (job.terms && terms == &*job.terms ? ", as accepted" : ""));
   EndJob(job, JobPhase::kFailed, now, wall_ms);
-  return true;
 }
 
 void Dispatcher::Impl::JudgeAllFailedRuns(Instant now, WallMs wall_ms,
--- a/libs/dispatch/test/job_terms_test.cc
+++ b/libs/dispatch/test/job_terms_test.cc
@@ -167,12 +167,17 @@
 }
 
 TEST_CASE("a job is ranked by its own terms when its queue is not configured") {
+  // Jobs of equal rank are ordered by id.
+  bool has_terms = true;
+  SUBCASE("both have terms") { has_terms = true; }
+  SUBCASE("the other has none") { has_terms = false; }
   FailingPool pool;
   StepSpec step;
   step.size.cpu_millis = 1'000;
   step.tasks = 2;
   AddedJob late = Job("a", step);
-  late.terms = QueueTerms{{.priority = 1, .max_attempts = 9}, Revision(1)};
+  if (has_terms)
+    late.terms = QueueTerms{{.priority = 1, .max_attempts = 9}, Revision(1)};
   AddedJob first = Job("b", step);
   first.terms = QueueTerms{{.priority = 0, .max_attempts = 9}, Revision(1)};
   pool.dispatcher.AddJob(late, At(0));
