Keep the lifetime of late calls in one place

13 s stood in four places, for starts, orders, moves and, since, commits: the same assumption about the platform each time. It is one constant of libs/base now, kLateCallLifetime.

The acceptor's memory of unknown outcomes kept a list beside its map, in which a job that came back could stand twice and push out a newer one. The job whose outcome became unknown first is now looked up when the memory is full.

No test broke the end of that memory: "an absent job may become stored only while a commit can be late" does, by time and by the store's confirmation.

--- a/libs/base/include/pomelomill/base.h
+++ b/libs/base/include/pomelomill/base.h
@@ -9,6 +9,7 @@
 #include "pomelomill/base/hash.h"
 #include "pomelomill/base/ids.h"
 #include "pomelomill/base/json_text.h"
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/base/random.h"
 #include "pomelomill/base/result.h"
 #include "pomelomill/base/strong_id.h"
--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/base/time.h"
 #include "pomelomill/dispatch/job_progress.h"
 #include "pomelomill/dispatch/job_spec.h"
@@ -98,7 +99,7 @@
   std::uint32_t reserved_worker_divisor = 4;
   /// A copy of a start that got no answer may be carried out for this long
   /// after its call has ended, also by the next incarnation of the worker.
-  Duration late_start_lifetime = std::chrono::seconds(13);
+  Duration late_start_lifetime = kLateCallLifetime;
   /// A worker that answered a start with kNoRoom, kUnhealthy or kNotSent gets
   /// no tasks for this long.
   Duration refusal_backoff = std::chrono::milliseconds(250);
--- a/libs/fleet/include/pomelomill/fleet/pool_sizer.h
+++ b/libs/fleet/include/pomelomill/fleet/pool_sizer.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/fleet/fleet_vm.h"
 #include "pomelomill/fleet/wave_planner.h"
 
@@ -61,7 +62,7 @@
   /// Pause before an unanswered move is sent again.
   Duration move_retry_delay = std::chrono::milliseconds(100);
   /// A move that got no answer may be carried out for this long.
-  Duration late_move_lifetime = std::chrono::seconds(13);
+  Duration late_move_lifetime = kLateCallLifetime;
 };
 
 /// Actions that `PoolSizer` wants carried out.
--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/jobserver/worker_calls.h"
 
@@ -38,7 +39,7 @@
   Duration same_incarnation_window = std::chrono::milliseconds(300);
   /// An order without a response, from this owner or an earlier one, may still
   /// be carried out for this long.
-  Duration unanswered_order_lifetime = std::chrono::seconds(13);
+  Duration unanswered_order_lifetime = kLateCallLifetime;
   /// When ended tasks have waited longer than this for their acknowledgement,
   /// no tasks are started, provided that the worker responds and that no order
   /// without a response can still be carried out.
--- a/libs/jobserver/src/job_acceptor.cc
+++ b/libs/jobserver/src/job_acceptor.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/store/adaptive_committer.h"
 #include "pomelomill/store/store_error.h"
 #include "store_keys.h"
@@ -25,9 +26,6 @@
 /// 1.5 times the response time of a slow store.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(450);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
-/// A call without an answer may be carried out seconds later; as for orders to
-/// workers.
-constexpr Duration kLateCommitLifetime = std::chrono::seconds(13);
 /// About 200 kB; the jobs that end as kUnknown until an outage is noticed are
 /// far fewer.
 constexpr std::size_t kMaxRememberedUnknown = 2'048;
@@ -75,7 +73,7 @@
   bool MayBecomeStored(const JobId& job) const {
     const auto it = unknown_.find(job);
     return it != unknown_.end() &&
-           timers_.Now() - it->second < kLateCommitLifetime;
+           timers_.Now() - it->second < kLateCallLifetime;
   }
 
  private:
@@ -94,11 +92,11 @@
   }
 
   void RememberUnknown(const JobId& job) {
-    if (!unknown_.insert_or_assign(job, timers_.Now()).second) return;
-    unknown_order_.push_back(job);
-    if (unknown_order_.size() <= kMaxRememberedUnknown) return;
-    unknown_.erase(unknown_order_.front());
-    unknown_order_.pop_front();
+    unknown_.insert_or_assign(job, timers_.Now());
+    if (unknown_.size() <= kMaxRememberedUnknown) return;
+    unknown_.erase(std::min_element(
+        unknown_.begin(), unknown_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
 
   void Commit() {
@@ -242,8 +240,6 @@
   /// Jobs that have ended as kUnknown and not as kAccepted since, at most
   /// kMaxRememberedUnknown, and when they did last.
   std::map<JobId, Instant> unknown_;
-  /// In the order of their first end; includes some that `unknown_` lacks.
-  std::deque<JobId> unknown_order_;
   StoreHealth health_ = StoreHealth::kUp;
   Instant probed_at_{};
   bool is_commit_in_flight_ = false;
--- a/libs/jobserver/test/job_acceptor_test.cc
+++ b/libs/jobserver/test/job_acceptor_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/base/virtual_timer_service.h"
 #include "pomelomill/jobtesting.h"
 
@@ -163,6 +164,29 @@
   }
 }
 
+TEST_CASE("an absent job may become stored only while a commit can be late") {
+  // Guards against callers that are told to come back for ever for a job that
+  // was never stored.
+  AcceptorFixture it;
+  it.faults.is_cut = true;
+  it.Run(milliseconds(20));
+  it.time.Advance(seconds(3));
+  REQUIRE(it.requests[0].outcome == AcceptOutcome::kUnknown);
+  CHECK(it.acceptor.MayBecomeStored(JobId("j0")));
+  CHECK_FALSE(it.acceptor.MayBecomeStored(JobId("other")));
+  SUBCASE("until it is too late for the commit") {
+    it.time.Advance(kLateCallLifetime);
+  }
+  SUBCASE("until the store has confirmed the job") {
+    it.faults = {};
+    it.time.Advance(seconds(1));
+    it.Submit(0);
+    it.time.Advance(milliseconds(500));
+    REQUIRE(it.requests[0].outcome == AcceptOutcome::kAccepted);
+  }
+  CHECK_FALSE(it.acceptor.MayBecomeStored(JobId("j0")));
+}
+
 TEST_CASE("a repeated submission is told where the job is stored") {
   // Guards against a job that is looked up and cancelled in the pool to which
   // its queue has moved since its acceptance.
