--- a/libs/dispatch/test/job_terms_test.cc
+++ b/libs/dispatch/test/job_terms_test.cc
@@ -158,6 +158,22 @@
   }
 }
 
+TEST_CASE("a failed task that is to run alone waits for its terms as well") {
+  FailingPool pool;
+  AddedJob job = Job("a");
+  job.progress.phase = JobPhase::kRunning;
+  job.progress.tasks = {{.failed_runs = {3}, .crashed_runs = {1, 2}}};
+  SUBCASE("unknown") {
+    pool.dispatcher.AddJob(job, At(0));
+    CHECK(pool.RunOnce().empty());
+  }
+  SUBCASE("known") {
+    job.terms = Attempts(4, 1);
+    pool.dispatcher.AddJob(job, At(0));
+    CHECK(pool.RunOnce().size() == 1);
+  }
+}
+
 TEST_CASE("a long-running task is restarted while its attempts are unknown") {
   FailingPool pool;
   StepSpec step;
--- a/libs/jobserver/test/accepted_terms_test.cc
+++ b/libs/jobserver/test/accepted_terms_test.cc
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -87,6 +88,26 @@
 
 }  // namespace
 
+TEST_CASE("a stored job is read with the terms that it was stored with") {
+  StoredJob job{.queue = QueueId("copper-quote"), .spec = ChainJob(2, 8)};
+  job.spec.payload = std::string(40, 'x');
+  const std::size_t without_terms = EncodeStoredJob(job).size();
+  CHECK_FALSE(DecodeStoredJob(EncodeStoredJob(job))->terms);
+  job.terms = QueueTerms{{.priority = 3,
+                          .max_attempts = 4,
+                          .stretch = 1.5,
+                          .target_latency = milliseconds(600)},
+                         Revision(std::numeric_limits<std::uint64_t>::max())};
+  const auto read = DecodeStoredJob(EncodeStoredJob(job));
+  REQUIRE(read);
+  CHECK(read->queue == job.queue);
+  CHECK(read->spec == job.spec);
+  CHECK(read->terms == job.terms);
+  job.terms->revision = Revision(12);
+  MESSAGE("bytes of a record: " << without_terms << ", with terms "
+                                << EncodeStoredJob(job).size());
+}
+
 TEST_CASE("a job whose queue is dropped keeps its attempts over a takeover") {
   for (const Takeover takeover : kTakeovers) {
     for (const bool is_poison : {false, true}) {
@@ -184,7 +205,7 @@
                     .run_time = milliseconds(900),
                     .fails = [&](const TaskKey& key, std::uint32_t) {
                       const bool is_poison = key.job.value().starts_with("bad");
-                      return is_poison || ++ended[key] < kAttempts;
+                      return ++ended[key] < kAttempts || is_poison;
                     }});
     Random random(seed * 7919);
     const FleetConfig first = world.config();
@@ -212,12 +233,19 @@
     world.Advance(seconds(120));
     INFO(world.History());
     CHECK(world.Violations().empty());
+    for (const auto& [key, runs] : ended) {
+      INFO(ToText(key));
+      CHECK(runs <= kAttempts);
+    }
+    std::size_t accepted = 0;
     for (const std::string& job : jobs) {
       CAPTURE(job);
       if (world.outcome(job) != AcceptOutcome::kAccepted) continue;
+      ++accepted;
       CHECK(world.Phase(job, kPool) ==
             (job.starts_with("bad") ? "failed" : "complete"));
     }
+    CHECK(accepted > 0);
   }
 }
 
