--- a/libs/jobserver/test/accepted_terms_test.cc
+++ b/libs/jobserver/test/accepted_terms_test.cc
@@ -233,9 +233,9 @@
     world.Advance(seconds(120));
     INFO(world.History());
     CHECK(world.Violations().empty());
-    for (const auto& [key, runs] : ended) {
-      INFO(ToText(key));
-      CHECK(runs <= kAttempts);
+    for (const auto& it : ended) {
+      INFO(ToText(it.first));
+      CHECK(it.second <= kAttempts);
     }
     std::size_t accepted = 0;
     for (const std::string& job : jobs) {
