Review 2, case 6: a late copy of a start runs a done work item again

Promise: TWICE: no start after a run has ended done, if that end is taken note of. Order of events: one copy of a start gets no answer, the next is carried out and ends done, its end is taken note of; the runner goes silent, is back under its id after 0.3 s, and 0.3 s later the first copy arrives there.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Single runners crash, one at a time, under ordinary and lasting submissions.
+# A late copy of a start reaches the next life of its runner.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
 # run. TROUBLE=0 runs it without the disruption. Needs target/pomelomill and
 # review/build-2.sh first.
@@ -12,7 +12,7 @@
   fi
 done
 folder=$(mktemp -d) || exit 2
-TROUBLE="${TROUBLE:-1}" build/review-2/case-2 crashes "$folder" review/6/record.txt &
+TROUBLE="${TROUBLE:-1}" build/review-2/case-2 late-start "$folder" review/6/record.txt &
 world=$!
 trap 'kill -TERM "$world" 2>/dev/null' INT TERM
 wait "$world"
