Log when a restart is listed and how long its first call takes

The log had `worker-silent` and `worker-reborn` and told none of them apart.

`worker-relisted` says when the list named the new start. `worker-responds` has the age of the incarnation at its first response, the wait of the first renewal that failed, and how many failed after it by time-out. One line for each change of an entry, and one for each silence that ends.

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -60,8 +60,27 @@
   Duration max_inherited_lease = std::chrono::seconds(21);
 };
 
+/// A time in which a worker did not respond to renewals.
+struct WorkerSilence {
+  /// From the first renewal that failed to the response; 0 when none failed.
+  Duration lasted{};
+  /// Time after which that renewal was known to have failed.
+  Duration first_wait{};
+  /// Renewals that failed, and those of them that timed out.
+  std::uint32_t failures = 0;
+  std::uint32_t timeouts = 0;
+  bool is_new_incarnation = false;
+};
+
 struct WorkerLinkHooks {
   std::function<void(const WorkerReport&)> on_report;
+  /// The worker responds again after a failed renewal, or for the first time in
+  /// another incarnation. Called before on_report; optional.
+  std::function<void(const WorkerReport&, const WorkerSilence&)> on_responsive;
+  /// The platform's list names another start time than before, in milliseconds
+  /// of Unix time, and the worker has not responded in that incarnation.
+  /// Optional.
+  std::function<void(std::int64_t started_ms)> on_relisted;
   /// The worker has become unresponsive: a renewal failed, and it was the first
   /// one or the worker has responded since the last failure. Not called for
   /// WorkerError::kFenced, nor for calls that could not be sent
@@ -112,6 +131,10 @@
   /// Earlier owners extended the worker's lease by at most `longest` from now.
   /// Replaces WorkerLinkOptions::max_inherited_lease if it is a tighter bound.
   void LimitInheritedLease(Duration longest);
+  /// The platform's list names an incarnation of the worker that started at
+  /// `started_ms`, in milliseconds of Unix time; 0 when the time is unknown.
+  /// The list may lag or be wrong.
+  void OnListed(std::int64_t started_ms);
 
   const WorkerAddress& address() const;
   /// Fencing token for orders to the worker.
--- a/libs/jobserver/src/dispatch_event_fields.cc
+++ b/libs/jobserver/src/dispatch_event_fields.cc
@@ -16,4 +16,18 @@
   return fields;
 }
 
+std::vector<EventField> FieldsOf(const WorkerId& worker,
+                                 const WorkerReport& report,
+                                 const WorkerSilence& silence,
+                                 std::int64_t age_ms) {
+  return {{"worker", worker.value()},
+          {"started_ms", std::to_string(report.started_ms)},
+          {"age_ms", std::to_string(age_ms)},
+          {"incarnation", silence.is_new_incarnation ? "new" : "same"},
+          {"silent_ms", std::to_string(ToMillis(silence.lasted))},
+          {"first_wait_ms", std::to_string(ToMillis(silence.first_wait))},
+          {"failures", std::to_string(silence.failures)},
+          {"timeouts", std::to_string(silence.timeouts)}};
+}
+
 }  // namespace pomelomill
--- a/libs/jobserver/src/dispatch_event_fields.h
+++ b/libs/jobserver/src/dispatch_event_fields.h
@@ -4,6 +4,7 @@
 
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/dispatch/dispatcher.h"
+#include "pomelomill/jobserver/worker_link.h"
 
 namespace pomelomill {
 
@@ -11,4 +12,11 @@
 /// event does not have is left out.
 std::vector<EventField> FieldsOf(const DispatchEvent& event);
 
+/// The fields of a worker's response after a silence. `age_ms` is the age of
+/// the incarnation that responds, in milliseconds.
+std::vector<EventField> FieldsOf(const WorkerId& worker,
+                                 const WorkerReport& report,
+                                 const WorkerSilence& silence,
+                                 std::int64_t age_ms);
+
 }  // namespace pomelomill
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -331,6 +331,7 @@
       if (!roster_->Contains({it.spec.id, it.address})) continue;
       usable.push_back(it.spec);
       EnsureLink({it.spec.id, it.address}, leases_.RemainingWithOwn());
+      links_.at(it.spec.id)->OnListed(it.spec.started_ms);
     }
     dispatcher_->SetListedWorkers(usable);
     DropGoneLinks();
@@ -374,6 +375,19 @@
                 dispatcher_->ReleaseHeldTasks(id, timers_.Now());
               plans_.Schedule();
             },
+        .on_responsive =
+            [this, id](const WorkerReport& report,
+                       const WorkerSilence& silence) {
+              Event("worker-responds",
+                    FieldsOf(id, report, silence, AgeMs(report.started_ms)));
+            },
+        .on_relisted =
+            [this, id](std::int64_t started_ms) {
+              Event("worker-relisted",
+                    {{"worker", id.value()},
+                     {"started_ms", std::to_string(started_ms)},
+                     {"age_ms", std::to_string(AgeMs(started_ms))}});
+            },
         .on_unresponsive =
             [this, id](std::error_code ec) {
               Event("worker-silent", {{"worker", id.value()},
@@ -402,6 +416,12 @@
         .request_token = [this] { roster_->Rewrite(); }};
   }
 
+  /// Age of an incarnation of a worker by this process's clock, which may
+  /// differ from the worker's.
+  std::int64_t AgeMs(std::int64_t started_ms) const {
+    return hooks_.wall_ms() - started_ms;
+  }
+
   OrderSenderHooks MakeOrderHooks() {
     return {.find_link = [this](const WorkerId& id) -> WorkerLink* {
               const auto it = links_.find(id);
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -42,6 +42,16 @@
     lease_expires_at_ = std::min(lease_expires_at_, timers_.Now() + longest);
   }
 
+  void OnListed(std::int64_t started_ms) {
+    if (started_ms == 0) return;
+    const std::int64_t former = std::exchange(listed_start_ms_, started_ms);
+    const bool is_expected = former == 0 && !has_responded_;
+    if (is_expected || former == started_ms ||
+        started_ms == incarnation_start_ms_)
+      return;
+    if (hooks_.on_relisted) hooks_.on_relisted(started_ms);
+  }
+
   const WorkerAddress& address() const { return address_; }
   bool is_lost() const { return is_lost_; }
   FencingToken token() const { return token_; }
@@ -215,9 +225,10 @@
     if (is_stale && !is_outcome_stale_ && timers_.Now() > lease_expires_at_)
       return OnFailure(WorkerError::kNoResponse);
     refusals_ = 0;
-    has_responded_ = true;
     const bool is_new_incarnation =
         !clock_ms_ || incarnation_start_ms_ != result->started_ms;
+    ReportSilenceEnd(*result);
+    has_responded_ = true;
     if (is_new_incarnation) {
       latest_deadline_ms_ = 0;
       acknowledged_up_to_ = 0;
@@ -275,7 +286,25 @@
     RenewAfter(options_.unstored_ends_delay);
   }
 
+  void ReportSilenceEnd(const WorkerReport& report) {
+    WorkerSilence silence = std::exchange(silence_, {});
+    silence.is_new_incarnation =
+        has_responded_ && incarnation_start_ms_ != report.started_ms;
+    if (silence.failures == 0 && !silence.is_new_incarnation) return;
+    if (silence.failures != 0) silence.lasted = timers_.Now() - silent_since_;
+    if (hooks_.on_responsive) hooks_.on_responsive(report, silence);
+  }
+
+  void CountFailure(std::error_code ec) {
+    if (silence_.failures++ == 0) {
+      silent_since_ = request_sent_at_;
+      silence_.first_wait = timers_.Now() - request_sent_at_;
+    }
+    silence_.timeouts += ec == WorkerError::kNoResponse;
+  }
+
   void OnFailure(std::error_code ec) {
+    CountFailure(ec);
     is_outcome_stale_ = false;
     no_orders_since_answered_request_ = false;
     if (ec == WorkerError::kFenced) return hooks_.on_fenced();
@@ -356,6 +385,8 @@
   /// acknowledged.
   std::uint64_t acknowledged_up_to_ = 0;
   std::int64_t incarnation_start_ms_ = 0;
+  /// Start of the incarnation that the platform's list names; 0 when unknown.
+  std::int64_t listed_start_ms_ = 0;
   /// Latest lease deadline sent to this incarnation, on the worker's clock.
   std::int64_t latest_deadline_ms_ = 0;
   /// The worker's lease has certainly expired after this time.
@@ -364,6 +395,10 @@
   Instant may_reconnect_at_{};
   /// Consecutive refused connections.
   std::uint32_t refusals_ = 0;
+  /// Renewals that failed since the last response.
+  WorkerSilence silence_;
+  /// When the first of them was sent.
+  Instant silent_since_{};
   /// The worker has responded to a renewal of this link.
   bool has_responded_ = false;
   /// Start orders whose outcome has not arrived.
@@ -409,6 +444,9 @@
 void WorkerLink::LimitInheritedLease(Duration longest) {
   impl_->LimitInheritedLease(longest);
 }
+void WorkerLink::OnListed(std::int64_t started_ms) {
+  impl_->OnListed(started_ms);
+}
 const WorkerAddress& WorkerLink::address() const { return impl_->address(); }
 std::optional<std::int64_t> WorkerLink::order_deadline_ms() const {
   return impl_->order_deadline_ms();
