Trust no connection that may have gone silent with another

Cause: PersistentHttpClient closes the connection on which a call timed out and goes on to trust the others, which were opened before and may have gone silent with it. Now a request that times out without a byte of its response closes the idle connections to the peer that have not responded since it was written. One that has responded meanwhile is kept, so that a peer that leaves single calls unanswered costs no further connections. A connect time-out closes nothing: the queue of new connections may just be full.

The same client carries the calls to the store and between entries, so these are covered. The libcurl client of the request router is not changed.

Ruled out: keep-alive probes of the kernel. They take three probes, and the next call is known to be due within 0.1 s of the time-out.

Tests: "after a time-out no idle connection is used that may be silent" fails without the call of CloseIdle() in OnTimeout(), the second request timing out like the first; "a connection that responds during a call that times out is kept" fails when all idle connections are closed.

--- a/libs/http/include/pomelomill/http/http_message.h
+++ b/libs/http/include/pomelomill/http/http_message.h
@@ -35,6 +35,9 @@
   /// connection dies before the first response byte; PersistentHttpClient only
   /// a GET. A request that must not be repeated sets this.
   bool use_fresh_connection = false;
+  /// PersistentHttpClient closes the idle connections to the peer, which may
+  /// have gone silent, and sends the request on a new one.
+  bool distrusts_idle_connections = false;
   std::size_t max_response_bytes = std::size_t{8} << 20;
 };
 
--- a/libs/http/include/pomelomill/http/persistent_http_client.h
+++ b/libs/http/include/pomelomill/http/persistent_http_client.h
@@ -28,6 +28,10 @@
 /// A request is written at most once, so that the result is that of its only
 /// copy. A GET, which has no effects, is sent once more on a new connection
 /// when a reused one ends before the first byte of the response.
+///
+/// When a request times out without a byte of the response, the idle
+/// connections to the peer that have not responded since it was sent are
+/// closed: they may have gone silent together.
 class PersistentHttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
--- a/libs/http/src/persistent_http_client.cc
+++ b/libs/http/src/persistent_http_client.cc
@@ -94,6 +94,7 @@
   std::string authority;
   /// The exchange that the connection carries; 0 while it is idle.
   ExchangeId exchange = 0;
+  Clock::time_point last_response_at{};
   bool is_waiting_for_bytes = false;
   /// A part of the request is still to be written.
   bool is_writing = false;
@@ -136,6 +137,8 @@
   std::string text;
   ConnectionPtr connection;
   Clock::time_point ends_at{};
+  /// When the latest copy of the request was written.
+  Clock::time_point written_at{};
   /// Key of its entry among the deadlines.
   Clock::time_point deadline{};
   bool is_connection_reused = false;
@@ -171,6 +174,8 @@
     exchange.text = std::move(text);
     exchange.ends_at = Clock::now() + exchange.request.timeout;
     SetDeadline(id, exchange, exchange.ends_at);
+    if (exchange.request.distrusts_idle_connections)
+      CloseIdle(exchange.target.authority, Clock::time_point::max());
     if (!exchange.request.use_fresh_connection) {
       if (ConnectionPtr idle = TakeIdle(id, exchange.target.authority)) {
         exchange.is_connection_reused = true;
@@ -234,6 +239,18 @@
     WaitForBytes(connection);
   }
 
+  /// Closes the idle connections to the peer that have not responded since.
+  void CloseIdle(const std::string& authority, Clock::time_point since) {
+    const auto it = idle_.find(authority);
+    if (it == idle_.end()) return;
+    std::erase_if(it->second, [since](const ConnectionPtr& connection) {
+      const bool is_closed = connection->last_response_at <= since;
+      if (is_closed) Close(*connection);
+      return is_closed;
+    });
+    if (it->second.empty()) idle_.erase(it);
+  }
+
   void DropIdle(const ConnectionPtr& connection) {
     Close(*connection);
     const auto it = idle_.find(connection->authority);
@@ -270,6 +287,7 @@
     connection->exchange = id;
     connection->reader.Begin(exchange.request.max_response_bytes);
     exchange.may_have_been_sent = true;
+    exchange.written_at = Clock::now();
     std::error_code ec;
     const std::size_t n =
         connection->socket.write_some(asio::buffer(exchange.text), ec);
@@ -355,6 +373,7 @@
     HttpResult result;
     result.response = connection->reader.TakeResponse();
     closed_by_peer_.erase(connection->authority);
+    connection->last_response_at = Clock::now();
     if (connection->reader.keeps_connection() && !connection->is_writing &&
         !exchange.request.use_fresh_connection) {
       KeepIdle(connection);
@@ -412,10 +431,20 @@
     const auto now = Clock::now();
     while (!is_stopped_ && !deadlines_.empty() &&
            deadlines_.begin()->first <= now)
-      Finish(deadlines_.begin()->second, HttpError::kTimeout);
+      OnTimeout(deadlines_.begin()->second);
     if (!is_stopped_) ArmTimer();
   }
 
+  void OnTimeout(ExchangeId id) {
+    const Exchange& exchange = exchanges_.at(id);
+    const bool is_silent =
+        exchange.may_have_been_sent && !exchange.connection->reader.has_begun();
+    // Connections may go silent without a reset, all of those to a peer at
+    // once. Only the ones that have responded meanwhile have certainly not.
+    if (is_silent) CloseIdle(exchange.target.authority, exchange.written_at);
+    Finish(id, HttpError::kTimeout);
+  }
+
   asio::io_context& context_;
   const PersistentHttpClientOptions options_;
   asio::steady_timer timer_;
--- a/libs/http/test/http_client_test.cc
+++ b/libs/http/test/http_client_test.cc
@@ -46,6 +46,10 @@
   std::size_t connections() const { return connections_; }
   /// Request line and headers of each request.
   const std::vector<std::string>& heads() const { return heads_; }
+  /// Requests on the connections that are open now get no reply.
+  void SilenceConnections() {
+    for (const auto& it : sessions_) it->is_silent = true;
+  }
   /// Closes all connections, by a reset if `is_reset`.
   void Close(bool is_reset = false) {
     acceptor_.close();
@@ -61,6 +65,7 @@
     explicit Session(tcp::socket s) : socket(std::move(s)) {}
     tcp::socket socket;
     asio::streambuf buf;
+    bool is_silent = false;
   };
 
   void Accept() {
@@ -82,7 +87,7 @@
               static_cast<const char*>(session->buf.data().data());
           heads_.emplace_back(text, n);
           session->buf.consume(session->buf.size());
-          if (requests_ >= replies_.size()) return;
+          if (session->is_silent || requests_ >= replies_.size()) return;
           const Reply& reply = replies_[requests_++];
           std::error_code ignored;
           asio::write(session->socket, asio::buffer(reply.text), ignored);
@@ -500,4 +505,74 @@
 }
 
 }  // namespace
+namespace {
+
+/// Opens `count` connections, which are idle afterwards.
+void OpenConnections(asio::io_context& context, PersistentHttpClient& client,
+                     const std::string& url, int count) {
+  int answered = 0;
+  for (int i = 0; i < count; ++i) {
+    client.Send({.url = url}, [&](const HttpResult& result) {
+      CHECK_FALSE(result.error);
+      ++answered;
+    });
+  }
+  context.restart();
+  while (answered < count) context.run_one();
+}
+
+}  // namespace
+
+// Guards against calls that time out one after the other when the connections
+// to a peer have gone silent together: each idle one was tried in turn.
+TEST_CASE("after a time-out no idle connection is used that may be silent") {
+  asio::io_context context;
+  ScriptedServer server(context, {{kOk}, {kOk}, {kOk}, {kOk}});
+  PersistentHttpClient client(context);
+  OpenConnections(context, client, server.url(), 3);
+  server.SilenceConnections();
+  CHECK(Exchange(context, client,
+                 {.url = server.url(), .timeout = milliseconds(50)})
+            .error == HttpError::kTimeout);
+  const HttpResult r = Exchange(
+      context, client, {.url = server.url(), .timeout = milliseconds(500)});
+  CHECK_FALSE(r.error);
+  CHECK(server.connections() == 4);
+}
+
+// Guards against new connections to a peer that leaves single calls unanswered.
+TEST_CASE("a connection that responds during a call that times out is kept") {
+  asio::io_context context;
+  ScriptedServer server(context, {{kOk}, {kOk}, {""}, {kOk}, {kOk}});
+  PersistentHttpClient client(context);
+  OpenConnections(context, client, server.url(), 2);
+  std::optional<HttpResult> unanswered;
+  client.Send({.url = server.url(), .timeout = milliseconds(100)},
+              [&](HttpResult r) { unanswered = std::move(r); });
+  context.restart();
+  while (server.requests() < 3) context.run_one();
+  CHECK_FALSE(Exchange(context, client, {.url = server.url()}).error);
+  while (!unanswered) context.run_one();
+  CHECK(unanswered->error == HttpError::kTimeout);
+  CHECK_FALSE(Exchange(context, client, {.url = server.url()}).error);
+  CHECK(server.connections() == 2);
+}
+
+TEST_CASE("a request that distrusts idle connections opens one that is kept") {
+  asio::io_context context;
+  ScriptedServer server(context, {{kOk}, {kOk}, {kOk}, {kOk}});
+  PersistentHttpClient client(context);
+  OpenConnections(context, client, server.url(), 2);
+  server.SilenceConnections();
+  CHECK_FALSE(Exchange(context, client,
+                       {.url = server.url(),
+                        .timeout = milliseconds(500),
+                        .distrusts_idle_connections = true})
+                  .error);
+  CHECK_FALSE(Exchange(context, client,
+                       {.url = server.url(), .timeout = milliseconds(500)})
+                  .error);
+  CHECK(server.connections() == 3);
+}
+
 }  // namespace pomelomill
