Call a worker's next process as soon as the store lists it

A copy of a start that got no answer reached the worker's next process, which knows no token, before its owner's first call.

Cause: nothing called the process before the renewal to the former one had run to its own end, up to 2.6 s on a silent connection.

Now a start time that changes makes the link call the worker at once, on a new connection, without a wait and without an extension or an acknowledgement, with the highest token there is. The renewal under way is left to itself: its deadline and acknowledgement stay counted as sent, its result is ignored. The list proves nothing else. A live process that answers, because the entry lags or was garbled, keeps its tasks, and is not called again for the same entry; an entry that vanishes and comes back with the same start time is no news.

Two further waits in the same place: the first renewal of a link may have used an idle connection that an earlier ownership of the process had left, and is sent on a new one; and a token that had to be written first was used 0.1 s and more after it was there. It is requested before the first response when an order to the worker is open, and used as soon as it is stored.

Ruled out: shorter time-outs of renewals (a slow worker or owner would count as silent); acknowledging ends only once no copy of their start can be late (the task would still run again, only without counting); Expect-Instance and lease deadlines, which do not tell two processes of one id apart.

--- a/libs/jobserver/include/pomelomill/jobserver/worker_calls.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_calls.h
@@ -61,6 +61,9 @@
   /// Longest time for which the worker may delay the response until it has an
   /// ended task that is not acknowledged (long polling).
   Duration max_wait{};
+  /// The connections to the worker may belong to a former incarnation and have
+  /// gone silent: the call is sent on a new one.
+  bool needs_new_connection = false;
 };
 
 /// Reasons for which a call on a worker, or on the platform's VMs, failed.
--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -78,8 +78,8 @@
   /// another incarnation. Called before on_report; optional.
   std::function<void(const WorkerReport&, const WorkerSilence&)> on_responsive;
   /// The platform's list names another start time than before, in milliseconds
-  /// of Unix time, and the worker has not responded in that incarnation.
-  /// Optional.
+  /// of Unix time, and the worker has not responded in that incarnation. The
+  /// link calls it next and starts nothing there meanwhile. Optional.
   std::function<void(std::int64_t started_ms)> on_relisted;
   /// The worker has become unresponsive: a renewal failed, and it was the first
   /// one or the worker has responded since the last failure. Not called for
@@ -133,8 +133,11 @@
   void LimitInheritedLease(Duration longest);
   /// The platform's list names an incarnation of the worker that started at
   /// `started_ms`, in milliseconds of Unix time; 0 when the time is unknown.
-  /// The list may lag or be wrong.
+  /// The list may lag or be wrong, so that another incarnation than the known
+  /// one is only called, at once and on a new connection.
   void OnListed(std::int64_t started_ms);
+  /// WorkerLinkHooks::newest_token() has become higher.
+  void OnNewerToken();
 
   const WorkerAddress& address() const;
   /// Fencing token for orders to the worker.
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -387,6 +387,7 @@
                     {{"worker", id.value()},
                      {"started_ms", std::to_string(started_ms)},
                      {"age_ms", std::to_string(AgeMs(started_ms))}});
+              dispatcher_->OnWorkerUnresponsive(id);
             },
         .on_unresponsive =
             [this, id](std::error_code ec) {
@@ -457,7 +458,10 @@
   }
 
   void OnCommitted(Version version) {
-    newest_token_ = std::max(newest_token_, FencingToken(version.value()));
+    const FencingToken token(version.value());
+    if (token <= newest_token_) return;
+    newest_token_ = token;
+    for (auto& [id, link] : links_) link->OnNewerToken();
   }
 
   bool MaySendOrders() const {
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -45,11 +45,20 @@
   void OnListed(std::int64_t started_ms) {
     if (started_ms == 0) return;
     const std::int64_t former = std::exchange(listed_start_ms_, started_ms);
+    // The first renewal is on its way when the list is first read.
     const bool is_expected = former == 0 && !has_responded_;
     if (is_expected || former == started_ms ||
         started_ms == incarnation_start_ms_)
       return;
     if (hooks_.on_relisted) hooks_.on_relisted(started_ms);
+    CallListedIncarnation();
+  }
+
+  void OnNewerToken() {
+    if (!is_waiting_for_token_ || hooks_.newest_token() <= outdated_token_)
+      return;
+    timers_.Cancel(timer_);
+    SendRenewal();
   }
 
   const WorkerAddress& address() const { return address_; }
@@ -144,18 +153,41 @@
   /// one.
   void RaiseToken() {
     token_ = std::max(token_, hooks_.newest_token());
-    if (needs_token_ && token_ <= outdated_token_) hooks_.request_token();
+    const bool is_outdated = needs_token_ && token_ <= outdated_token_;
+    // Requested early, so that the first call to the next incarnation has it.
+    const bool may_be_restarted = is_relisted_ || !HasNoOrderInFlight();
+    if (is_outdated || (may_be_restarted && token_ <= order_token_))
+      hooks_.request_token();
+  }
+
+  /// Calls the incarnation that the list names at once, on a new connection:
+  /// the present renewal may wait for its time-out on a connection to the
+  /// former one. Nothing is concluded from the list itself, only from the
+  /// response.
+  void CallListedIncarnation() {
+    is_relisted_ = true;
+    needs_new_connection_ = true;
+    is_unresponsive_ = true;
+    is_outcome_stale_ = false;
+    no_orders_since_answered_request_ = false;
+    timers_.Cancel(timer_);
+    SendRenewal();
   }
 
   void SendRenewal() {
     is_waiting_for_store_ = false;
+    is_waiting_for_token_ = false;
     is_probe_delayed_ = false;
+    // The result of an earlier renewal without a response is ignored from here
+    // on.
+    const std::uint64_t number = ++renewal_number_;
     if (!hooks_.may_send_orders()) return RenewAfter(options_.retry_delay);
     const bool is_token_outdated = needs_token_ && token_ <= outdated_token_;
     if (is_token_outdated || (is_unresponsive_ && token_ <= order_token_))
       RaiseToken();
     RenewRequest request;
     request.token = token_;
+    request.needs_new_connection = std::exchange(needs_new_connection_, false);
     // Each incarnation numbers its ended tasks from 1, so an acknowledgement
     // for the previous incarnation would delete those of a new one unread.
     const bool has_unacknowledged = HasUnacknowledgedEnds();
@@ -187,11 +219,13 @@
     const Instant stale_from =
         timers_.Now() + request.max_wait + options_.max_handling_delay;
     calls_.renew(address_, request,
-                 [weak = weak_from_this(), stale_from,
+                 [weak = weak_from_this(), number, stale_from,
                   acknowledged =
                       request.acknowledged_up_to](Result<WorkerReport> result) {
                    const auto self = weak.lock();
-                   if (self == nullptr || self->is_halted_) return;
+                   if (self == nullptr || self->is_halted_ ||
+                       self->renewal_number_ != number)
+                     return;
                    if (!result && result.error() == WorkerError::kNotSent)
                      return self->OnNotSent();
                    self->OnResult(std::move(result), stale_from, acknowledged);
@@ -258,6 +292,7 @@
       needs_token_ = token_ <= outdated_token_;
     }
     is_unresponsive_ = false;
+    is_relisted_ = false;
     is_outcome_stale_ = false;
     is_lost_ = false;
     is_replaced_ = false;
@@ -280,12 +315,19 @@
       return RenewAfter(
           std::min(timers_.Now() - request_sent_at_, options_.long_poll_wait));
     }
-    if (needs_token_) return RenewAfter(options_.retry_delay);
+    if (needs_token_) return RenewWithNewerToken();
     if (is_new_incarnation || !hooks_.has_unstored_ends()) return SendRenewal();
     is_waiting_for_store_ = true;
     RenewAfter(options_.unstored_ends_delay);
   }
 
+  void RenewWithNewerToken() {
+    if (hooks_.newest_token() > outdated_token_) return SendRenewal();
+    hooks_.request_token();
+    is_waiting_for_token_ = true;
+    RenewAfter(options_.retry_delay);
+  }
+
   void ReportSilenceEnd(const WorkerReport& report) {
     WorkerSilence silence = std::exchange(silence_, {});
     silence.is_new_incarnation =
@@ -428,6 +470,15 @@
   bool is_replaced_ = false;
   /// The next renewal is delayed until ended tasks are stored.
   bool is_waiting_for_store_ = false;
+  /// The next renewal is delayed until there is a higher token.
+  bool is_waiting_for_token_ = false;
+  /// The list names another incarnation than the one that last responded.
+  bool is_relisted_ = false;
+  /// The next renewal is sent on a new connection. Those that an earlier link
+  /// of this process opened may have gone silent.
+  bool needs_new_connection_ = true;
+  /// Counts the renewals; only the latest one's result is handled.
+  std::uint64_t renewal_number_ = 0;
   bool is_halted_ = false;
 };
 
@@ -447,6 +498,7 @@
 void WorkerLink::OnListed(std::int64_t started_ms) {
   impl_->OnListed(started_ms);
 }
+void WorkerLink::OnNewerToken() { impl_->OnNewerToken(); }
 const WorkerAddress& WorkerLink::address() const { return impl_->address(); }
 std::optional<std::int64_t> WorkerLink::order_deadline_ms() const {
   return impl_->order_deadline_ms();
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -62,8 +62,10 @@
   };
   worker_options.crashes_worker = options_.crashes_worker;
   worker_options.on_entry_change = [this](const WorkerId& id) {
-    const Duration delay =
-        std::chrono::milliseconds(random_.Below(ToMillis(kHeartbeatPeriod)));
+    const Duration delay = options_.lists_restarts_at_once
+                               ? Duration(0)
+                               : std::chrono::milliseconds(
+                                     random_.Below(ToMillis(kHeartbeatPeriod)));
     time_.ScheduleAfter(delay, [this, id] {
       const std::string key = EntryKey(id);
       if (!store_->Value(key).empty())
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -36,6 +36,10 @@
     /// answer its peers, so that entries can be overloaded.
     bool can_overload = false;
 
+    /// Whether the store lists a worker that starts again at once, not up to a
+    /// heartbeat later.
+    bool lists_restarts_at_once = false;
+
     // Passed on to FakeWorkers::Options, which explains them.
     bool is_calm = false;
     bool checks_first_moments = false;
--- a/libs/jobserver/test/late_order_test.cc
+++ b/libs/jobserver/test/late_order_test.cc
@@ -54,8 +54,70 @@
   }
 }
 
+/// A start gets no answer and its second copy is carried out. After the end of
+/// the task the worker's process ends without a sign to its owner, the next one
+/// starts, and the first copy reaches it.
+struct SilentRestart {
+  /// From the end of the former process to the start of the next one.
+  Duration down_time;
+  /// From there to the arrival of the copy.
+  Duration until_copy;
+  /// Age of the copy at its arrival.
+  Duration copy_age;
+  /// Varies the time at which the owner polls the list.
+  Duration offset;
+};
+
+void RunSilentRestart(const SilentRestart& restart) {
+  CAPTURE(ToMillis(restart.down_time));
+  CAPTURE(ToMillis(restart.until_copy));
+  CAPTURE(ToMillis(restart.copy_age));
+  CAPTURE(ToMillis(restart.offset));
+  JobWorld world({.run_time = milliseconds(400),
+                  .lists_restarts_at_once = true,
+                  .checks_first_moments = true});
+  world.Advance(seconds(2) + restart.offset);
+  const auto owner = static_cast<std::size_t>(world.Owner(0));
+  world.worker_faults(owner) = {.late_share = 1, .late = restart.copy_age};
+  world.Submit(owner, "job", 0, ChainJob(1, 1));
+  world.Advance(milliseconds(60));
+  world.worker_faults(owner) = {};
+  // The copy is sent within the 60 ms.
+  world.Advance(restart.copy_age - restart.down_time - restart.until_copy -
+                milliseconds(60));
+  REQUIRE(world.Phase("job", 0) == "complete");
+  const WorkerId worker = world.workers().runs().front().worker;
+  world.workers().CrashSilently(worker);
+  world.Advance(restart.down_time);
+  world.workers().Restart(worker);
+  world.Advance(seconds(5));
+  INFO(world.History());
+  CHECK(world.workers().late_orders_in_next_life() == 1);
+  CHECK(world.workers().runs().size() == 1);
+  CHECK(world.Violations().empty());
+}
+
 }  // namespace
 
+// Guards against TWICE: the owner of a worker whose connections had gone silent
+// called its next incarnation only after its renewal had timed out, seconds
+// after the store listed that incarnation.
+TEST_CASE("a late start is refused by a next incarnation that is listed") {
+  for (const Duration down_time : {milliseconds(300), milliseconds(1'500)}) {
+    for (const Duration copy_age :
+         {milliseconds(4'000), milliseconds(12'000)}) {
+      for (const Duration until_copy : {milliseconds(300)}) {
+        for (int offset = 0; offset < 400; offset += 40) {
+          RunSilentRestart({.down_time = down_time,
+                            .until_copy = until_copy,
+                            .copy_age = copy_age,
+                            .offset = milliseconds(offset)});
+        }
+      }
+    }
+  }
+}
+
 // Guards against TWICE and LIMIT: a start without an answer that is carried out
 // by the next incarnation of the worker, after its task was started elsewhere.
 TEST_CASE("late starts carried out by the next incarnation of their worker") {
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -24,10 +24,12 @@
     calls_.renew = [this](const WorkerAddress&, const RenewRequest& call,
                           std::function<void(Result<WorkerReport>)> done) {
       sent.push_back(call);
-      done_ = std::move(done);
+      former_done_ = std::exchange(done_, std::move(done));
     };
     WorkerLinkHooks hooks;
-    hooks.on_report = [](const WorkerReport&) {};
+    hooks.on_report = [this](const WorkerReport& it) {
+      reported_starts.push_back(it.started_ms);
+    };
     hooks.on_unresponsive = [this](std::error_code) { ++unresponsive_count; };
     hooks.on_lost = [this](WorkerLoss) { ++lost_count; };
     hooks.on_fenced = [] {};
@@ -50,6 +52,12 @@
     done(WorkerReport{.clock_ms = clock_ms, .started_ms = start_ms});
   }
 
+  /// Answers the renewal before the pending one.
+  void AnswerFormer(std::int64_t clock_ms, std::int64_t start_ms = 1) {
+    auto done = std::move(former_done_);
+    done(WorkerReport{.clock_ms = clock_ms, .started_ms = start_ms});
+  }
+
   void Fail(std::error_code ec) {
     auto done = std::exchange(done_, {});
     done(tl::unexpected(ec));
@@ -66,11 +74,14 @@
   bool has_unstored_ends = false;
   bool has_tasks = true;
   std::vector<RenewRequest> sent;
+  /// Start time in each report.
+  std::vector<std::int64_t> reported_starts;
   std::unique_ptr<WorkerLink> link;
 
  private:
   WorkerCalls calls_;
   std::function<void(Result<WorkerReport>)> done_;
+  std::function<void(Result<WorkerReport>)> former_done_;
 };
 
 /// A worker on which ten tasks end a second, and an owner that handles each
@@ -436,6 +447,112 @@
   CHECK(fixture.link->token() == FencingToken(5));
 }
 
+// Guards against TWICE: a late start reached the next incarnation of a worker
+// while the renewal waited on a silent connection to the former one.
+TEST_CASE("an incarnation that is listed is called at once") {
+  LinkFixture fixture;
+  fixture.link->OnListed(1);
+  fixture.Answer(1000);
+  fixture.link->TrackStart (*fixture.link->order_deadline_ms())(false);
+  fixture.newest_token = FencingToken(5);
+  fixture.ack_limit = 3;
+  const std::size_t before = fixture.sent.size();
+  fixture.timers.Advance(milliseconds(100));
+  fixture.link->OnListed(2);
+  REQUIRE(fixture.sent.size() == before + 1);
+  const RenewRequest call = fixture.sent.back();
+  CHECK(call.needs_new_connection);
+  CHECK(call.token == FencingToken(5));
+  CHECK(call.max_wait == Duration(0));
+  CHECK_FALSE(call.deadline_ms);
+  CHECK(call.acknowledged_up_to == 0);
+  // A late answer of the former incarnation says nothing about the next one.
+  fixture.AnswerFormer(1100);
+  CHECK(fixture.reported_starts == std::vector<std::int64_t>{1});
+  CHECK(fixture.sent.size() == before + 1);
+  fixture.ack_limit = 0;
+  fixture.Answer(20, 2);
+  CHECK(fixture.reported_starts.back() == 2);
+  CHECK(fixture.link->may_start());
+  CHECK(fixture.link->token() == FencingToken(5));
+  CHECK_FALSE(fixture.sent.back().needs_new_connection);
+}
+
+// Guards against a live worker that is taken for ended, or called again and
+// again, because its entry in the list lags, is garbled or vanishes for a
+// while.
+TEST_CASE("a start time in the list alone proves nothing about a worker") {
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  fixture.link->OnListed(1);
+  const std::size_t before = fixture.sent.size();
+  fixture.link->OnListed(7);
+  CHECK(fixture.sent.size() == before + 1);
+  fixture.Answer(1'010);
+  CHECK(fixture.link->may_start());
+  CHECK(fixture.sent.back().deadline_ms);
+  CHECK(fixture.sent.back().max_wait > Duration(0));
+  const std::size_t after = fixture.sent.size();
+  fixture.link->OnListed(7);
+  fixture.link->OnListed(1);
+  fixture.link->OnListed(0);
+  fixture.link->OnListed(1);
+  CHECK(fixture.sent.size() == after);
+  CHECK(fixture.lost_count == 0);
+}
+
+// Guards against a takeover that waits on connections that an earlier ownership
+// of the same process has left.
+TEST_CASE("the first call of a link is sent on a new connection") {
+  LinkFixture fixture;
+  CHECK(fixture.sent.front().needs_new_connection);
+  fixture.Answer(1000);
+  CHECK_FALSE(fixture.sent.back().needs_new_connection);
+}
+
+TEST_CASE("a first renewal is not repeated because the list is read") {
+  LinkFixture fixture;
+  fixture.link->OnListed(1);
+  CHECK(fixture.sent.size() == 1);
+  // The worker has started again since.
+  fixture.link->OnListed(2);
+  CHECK(fixture.sent.size() == 2);
+}
+
+// Guards against a late start that another incarnation carries out while the
+// owner waits to repeat its call with a higher token.
+TEST_CASE("a higher token is used as soon as it is there") {
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  const auto settle =
+      fixture.link->TrackStart(*fixture.link->order_deadline_ms());
+  SUBCASE("it comes after the response of another incarnation") {
+    fixture.Answer(20, 2);
+    CHECK(fixture.token_requests == 1);
+    CHECK_FALSE(fixture.link->may_start());
+    const std::size_t before = fixture.sent.size();
+    fixture.link->OnNewerToken();
+    CHECK(fixture.sent.size() == before);
+    fixture.newest_token = FencingToken(5);
+    fixture.link->OnNewerToken();
+    REQUIRE(fixture.sent.size() == before + 1);
+    CHECK(fixture.sent.back().token == FencingToken(5));
+  }
+  SUBCASE("it is requested while an order has no answer") {
+    settle(false);
+    fixture.Fail(WorkerError::kNoResponse);
+    fixture.timers.Advance(milliseconds(110));
+    CHECK(fixture.token_requests == 1);
+    fixture.newest_token = FencingToken(5);
+    // The response to the call with the former token.
+    fixture.Answer(20, 2);
+    CHECK(fixture.sent.back().token == FencingToken(5));
+    CHECK_FALSE(fixture.link->may_start());
+    fixture.Answer(30, 2);
+    CHECK(fixture.link->may_start());
+  }
+}
+
 // Guards against a worker that gets no tasks, or whose end is noticed late,
 // because one connection ended; and against a deadline that its owner does not
 // count.
--- a/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
+++ b/libs/jobtesting/include/pomelomill/jobtesting/fake_workers.h
@@ -91,6 +91,9 @@
            double drift = 0);
   /// The process ends: runs end with it and calls are refused.
   void Crash(const WorkerId& worker);
+  /// As Crash(), but the connections to the process go silent: calls on their
+  /// way, and all calls until the restart, get no answer.
+  void CrashSilently(const WorkerId& worker);
   /// As Crash(), but by an order of the system.
   void EndByOrder(const WorkerId& worker);
   /// It starts again under the same id and knows nothing; with another capacity
@@ -160,6 +163,8 @@
     bool is_cut = false;
     bool is_refusing = false;
     bool is_closing = false;
+    /// The connections to the former incarnation have gone silent.
+    bool has_silent_connections = false;
     bool is_draining = false;
     std::uint64_t life = 0;
     /// Some process has called this incarnation; late orders do not count.
@@ -176,6 +181,10 @@
 
   std::int64_t ClockMs(const Worker& worker) const;
   static std::int64_t StartedMs(const Worker& worker);
+  /// No call to the worker gets an answer until it has started again.
+  static bool IsSilent(const Worker& worker) {
+    return !worker.is_up && worker.has_silent_connections;
+  }
   void CheckLease(Worker& worker);
   void Extend(Worker& worker, std::int64_t deadline_ms);
   StartResponse Start(Worker& worker, const StartRequest& call, bool is_late);
--- a/libs/jobtesting/src/fake_worker_calls.cc
+++ b/libs/jobtesting/src/fake_worker_calls.cc
@@ -15,11 +15,20 @@
                         std::uint64_t life, Instant until,
                         std::function<void(Result<WorkerReport>)> answer) {
   const auto it = workers_.find(address.address);
+  const bool is_other_life =
+      it != workers_.end() && life != 0 && it->second.life + 1 != life;
+  if (it != workers_.end() &&
+      (IsSilent(it->second) ||
+       (is_other_life && it->second.has_silent_connections))) {
+    timers_.ScheduleAt(until + kCallTimeout, [answer = std::move(answer)] {
+      answer(Unexpected(WorkerError::kNoResponse));
+    });
+    return;
+  }
   if (it == workers_.end() || !it->second.is_up)
     return answer(Unexpected(WorkerError::kProcessEnded));
   // The connection of a waiting call ends with the process.
-  if (life != 0 && it->second.life + 1 != life)
-    return answer(Unexpected(WorkerError::kNoResponse));
+  if (is_other_life) return answer(Unexpected(WorkerError::kNoResponse));
   if (it->second.is_closing)
     return answer(Unexpected(WorkerError::kConnectionEnded));
   auto report = Renew(it->second, call, false);
@@ -86,11 +95,12 @@
                 std::function<std::function<void()>(Worker&, bool)> order,
                 std::function<void()> unanswered, std::function<void()> ended,
                 std::function<void()> refused) {
-        if (is_cut(address)) {
+        const auto target = workers_.find(address.address);
+        if (is_cut(address) ||
+            (target != workers_.end() && IsSilent(target->second))) {
           timers->ScheduleAfter(kCallTimeout, std::move(unanswered));
           return;
         }
-        const auto target = workers_.find(address.address);
         const std::uint64_t life =
             target == workers_.end() ? 0 : target->second.life;
         if ((target != workers_.end() && !target->second.is_up) ||
--- a/libs/jobtesting/src/fake_workers.cc
+++ b/libs/jobtesting/src/fake_workers.cc
@@ -40,6 +40,13 @@
 
 void FakeWorkers::Crash(const WorkerId& worker) { EndLife(worker, false); }
 
+void FakeWorkers::CrashSilently(const WorkerId& worker) {
+  Crash(worker);
+  for (auto& [address, it] : workers_) {
+    if (it.address.id == worker) it.has_silent_connections = true;
+  }
+}
+
 void FakeWorkers::EndByOrder(const WorkerId& worker) { EndLife(worker, true); }
 
 void FakeWorkers::EndLife(const WorkerId& worker, bool is_by_order) {
