Learn of a restart at once while a start to the worker is open

The list is polled each 0.4 s with a watch of 0.2 s, and on a busy fleet each watch ends at once with a heartbeat, so a restart is seen up to 0.4 s late.

While a start may still be carried out late (13 s after a call without an answer), the entry now watches the registration of that worker alone. At most 16 workers are followed by an entry, since each keeps a connection to the store busy; the others are left to the poll. A heartbeat that changes nothing is not passed on, so that no plan is made for it.

Ruled out: polling the whole list more often (each entry would transfer all heartbeats of the fleet as often).

Tests: late_order_test with a copy that arrives 50 ms after the start of the process, at ten moments of the poll, and worker_directory_test, "a change of a worker that is followed is known at once", fail when nothing is followed; the calls are bounded by two further cases.

--- a/libs/jobserver/include/pomelomill/jobserver/platform_hooks.h
+++ b/libs/jobserver/include/pomelomill/jobserver/platform_hooks.h
@@ -21,6 +21,8 @@
   WorkerSpec spec;
   PoolId pool;
   std::string address;
+
+  bool operator==(const ListedWorker&) const = default;
 };
 
 /// Platform calls on the VMs of all pools. Each call runs its callback exactly
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -7,6 +7,7 @@
 #include "cluster_view.h"
 #include "fleet_manager.h"
 #include "ownership.h"
+#include "pomelomill/base/late_calls.h"
 #include "pomelomill/store/lease_keeper.h"
 #include "pomelomill/store/prefix_follower.h"
 #include "pomelomill/store/store_error.h"
@@ -220,6 +221,10 @@
                   return it.entry == settings_.entry ||
                          view_.HasStopped(it, Version(token.value()));
                 },
+            .follow_worker =
+                [this](const WorkerId& it) {
+                  worker_directory_.Follow(it, kLateCallLifetime);
+                },
             .incarnation = incarnation_,
             .former = FormerOwnershipOf(pool),
             .wall_ms = hooks_.wall_ms,
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -443,6 +443,8 @@
                 },
             .on_start_settled =
                 [this](const StartOrder& order, bool is_answered) {
+                  if (!is_answered && hooks_.follow_worker)
+                    hooks_.follow_worker(order.worker);
                   dispatcher_->OnStartSettled(order.key, order.run, is_answered,
                                               timers_.Now());
                 },
--- a/libs/jobserver/src/pool_owner.h
+++ b/libs/jobserver/src/pool_owner.h
@@ -31,6 +31,10 @@
   /// Whether a process that owned the pool certainly sends no more orders under
   /// that ownership.
   std::function<bool(const OwnerRecord&)> has_stopped;
+  /// A start that was sent to the worker has no answer: changes of its
+  /// registration are to be passed on without delay while the start may still
+  /// be carried out. Optional.
+  std::function<void(const WorkerId&)> follow_worker;
   /// Incarnation of this process.
   IncarnationId incarnation;
   /// The latest ownership of the pool that this process had before, if any.
--- a/libs/jobserver/src/worker_directory.cc
+++ b/libs/jobserver/src/worker_directory.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "entry_follower.h"
 #include "pomelomill/store/store_error.h"
 
 namespace pomelomill {
@@ -28,7 +29,9 @@
       : client_(client),
         timers_(timers),
         prefix_(std::move(prefix)),
-        hooks_(std::move(hooks)) {}
+        hooks_(std::move(hooks)),
+        follower_(client, timers,
+                  [this](const StoredKey& it) { OnEntryChange(it); }) {}
 
   void Start() {
     if (is_running_) return;
@@ -40,10 +43,16 @@
     is_running_ = false;
     ++generation_;
     timers_.Cancel(timer_);
+    follower_.Clear();
     entries_.clear();
     version_.reset();
   }
 
+  void Follow(const WorkerId& id, Duration time) {
+    if (version_)
+      follower_.Follow(prefix_ + id.value(), *version_, timers_.Now() + time);
+  }
+
   void Halt() {
     Stop();
     hooks_ = {};
@@ -101,6 +110,18 @@
     if (result) hooks_.on_refreshed();
   }
 
+  void OnEntryChange(const StoredKey& change) {
+    const auto before = Find(change.key);
+    Apply(change);
+    // Most changes are heartbeats.
+    if (Find(change.key) != before) hooks_.on_refreshed();
+  }
+
+  std::optional<ListedWorker> Find(const std::string& key) const {
+    const auto it = entries_.find(key);
+    return it == entries_.end() ? std::nullopt : it->second.worker;
+  }
+
   void RemoveMissing(const PrefixRead& list) {
     std::set<std::string> listed;
     for (const StoredKey& it : list.items) listed.insert(it.key);
@@ -140,6 +161,7 @@
   std::optional<Version> version_;
   Instant next_poll_at_{};
   TimerId timer_ = 0;
+  EntryFollower follower_;
   /// Incremented by Stop(), so that responses to earlier calls are ignored.
   std::uint64_t generation_ = 0;
   bool is_running_ = false;
@@ -155,6 +177,9 @@
 
 void WorkerDirectory::Start() { impl_->Start(); }
 void WorkerDirectory::Stop() { impl_->Stop(); }
+void WorkerDirectory::Follow(const WorkerId& id, Duration time) {
+  impl_->Follow(id, time);
+}
 bool WorkerDirectory::is_loaded() const { return impl_->is_loaded(); }
 std::vector<ListedWorker> WorkerDirectory::WorkersOf(const PoolId& pool) const {
   return impl_->WorkersOf(pool);
--- a/libs/jobserver/src/worker_directory.h
+++ b/libs/jobserver/src/worker_directory.h
@@ -16,7 +16,8 @@
   /// Decodes a registration; an error when it describes no usable worker.
   std::function<Result<ListedWorker>(const StoredKey&)> decode;
   /// The directory is up to date. Called once in each polling period in which
-  /// the store responds, also without changes.
+  /// the store responds, also without changes, and when the registration of a
+  /// worker that is followed has changed by more than a heartbeat.
   std::function<void()> on_refreshed;
   /// A registration cannot be decoded. Called once for each key until a later
   /// version of it can be decoded.
@@ -39,6 +40,10 @@
   void Start();
   /// Stops polling and clears the list, which would become outdated.
   void Stop();
+  /// For so long, learns of changes of the worker's registration at once
+  /// instead of at the next poll. For a few workers at a time, see
+  /// EntryFollowerOptions::max_keys. No effect while is_loaded() is false.
+  void Follow(const WorkerId& id, Duration time);
 
   /// Whether the list has been read since Start(). False again while it must be
   /// reread because the store has discarded its history; WorkersOf() returns
--- a/libs/jobserver/test/late_order_test.cc
+++ b/libs/jobserver/test/late_order_test.cc
@@ -106,7 +106,7 @@
   for (const Duration down_time : {milliseconds(300), milliseconds(1'500)}) {
     for (const Duration copy_age :
          {milliseconds(4'000), milliseconds(12'000)}) {
-      for (const Duration until_copy : {milliseconds(300)}) {
+      for (const Duration until_copy : {milliseconds(50), milliseconds(300)}) {
         for (int offset = 0; offset < 400; offset += 40) {
           RunSilentRestart({.down_time = down_time,
                             .until_copy = until_copy,
--- a/libs/jobserver/test/worker_directory_test.cc
+++ b/libs/jobserver/test/worker_directory_test.cc
@@ -272,4 +272,70 @@
   CHECK(f.count("a") == 1);
 }
 
+// Guards against TWICE: the next incarnation of a worker carries a late start
+// out before the next poll shows it to the owner.
+TEST_CASE("a change of a worker that is followed is known at once") {
+  Fixture it;
+  it.AddWorkers(2);
+  it.directory.Start();
+  it.timers.Advance(seconds(1));
+  it.directory.Follow(WorkerId("a0"), seconds(13));
+  for (int i = 0; i < 10; ++i) {
+    // More than the least time between two calls.
+    it.timers.Advance(milliseconds(317));
+    const bool is_draining = i % 2 == 0;
+    it.Put("a0", is_draining ? "draining" : "ready");
+    it.timers.Advance(milliseconds(5));
+    CHECK(it.directory.WorkersOf(PoolId("a")).front().spec.is_draining ==
+          is_draining);
+  }
+}
+
+TEST_CASE("following workers costs two calls for each heartbeat at most") {
+  Fixture it;
+  constexpr int kWorkers = 20;
+  it.AddWorkers(kWorkers);
+  it.directory.Start();
+  it.RenewEntries(kWorkers, seconds(3));
+  const auto calls_in_a_lifetime = [&] {
+    it.calls = it.refreshes = 0;
+    it.RenewEntries(kWorkers, seconds(12));
+    return it.calls;
+  };
+  const int without = calls_in_a_lifetime();
+  const int refreshes = it.refreshes;
+  // No other id begins with one of these.
+  for (int i = 4; i < 8; ++i)
+    it.directory.Follow(WorkerId("b" + std::to_string(i)), seconds(13));
+  const int with = calls_in_a_lifetime();
+  MESSAGE("calls in 12 s: " << without << ", with 4 workers followed " << with);
+  CHECK(with - without <= 4 * 2 * (12'000 / 1'500));
+  // A heartbeat is no news.
+  CHECK(it.refreshes <= refreshes + 1);
+  it.timers.Advance(seconds(15));
+  CHECK(calls_in_a_lifetime() <= without + 1);
+}
+
+// Guards against a call to the store for each of the workers of a large fleet,
+// and against calls without a pause while the store fails.
+TEST_CASE("the calls for workers that are followed are bounded") {
+  Fixture it;
+  constexpr int kWorkers = 60;
+  it.AddWorkers(kWorkers);
+  it.directory.Start();
+  it.timers.Advance(seconds(1));
+  it.calls = 0;
+  it.timers.Advance(seconds(2));
+  const int without = it.calls;
+  for (int i = 0; i < kWorkers; ++i)
+    it.directory.Follow(WorkerId("a" + std::to_string(i)), seconds(13));
+  it.calls = 0;
+  it.timers.Advance(seconds(2));
+  CHECK(it.calls <= without + 2 * 16);
+  it.faults.is_resetting = true;
+  it.calls = 0;
+  it.timers.Advance(seconds(4));
+  CHECK(it.calls <= 17 * 4'000 / 400 + 17);
+}
+
 }  // namespace pomelomill
