Send no copy of a start to a worker that may have restarted

The right to repeat now asks the link, too: no copy is sent once the worker has not responded to a renewal, is listed with another start, or has been called with a higher token.

Test: order_rights_test, "a start is not repeated once its worker is listed as restarted"; without the question further copies are sent after 100 and 200 ms.

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -160,6 +160,9 @@
   /// lost or its state is uncertain, and while further starts would keep ended
   /// tasks from being acknowledged.
   bool may_start() const;
+  /// Whether a start that was sent with the token may be sent again: the
+  /// incarnation that was asked has not failed to respond since.
+  bool may_repeat_start(FencingToken token) const;
   /// Whether nothing runs on the worker, see WorkerLinkHooks::on_lost.
   bool is_lost() const;
 
--- a/libs/jobserver/src/order_sender.cc
+++ b/libs/jobserver/src/order_sender.cc
@@ -32,7 +32,7 @@
                                .token = link->token(),
                                .deadline_ms = *deadline};
     orders_.Start(
-        link->address(), request, Right(&OrderSenderHooks::may_start_tasks),
+        link->address(), request, RightToRepeat(order.worker, request.token),
         [weak = weak_from_this(), order,
          token = request.token](const StartResponse& response) {
           if (const auto self = Alive(weak))
@@ -73,6 +73,18 @@
     };
   }
 
+  /// As Right(), for a start: a copy with the former token would be carried out
+  /// by a next incarnation that has not seen the newer one.
+  std::function<bool()> RightToRepeat(const WorkerId& worker,
+                                      FencingToken token) {
+    return [weak = weak_from_this(), worker, token] {
+      const auto self = Alive(weak);
+      if (self == nullptr || !self->hooks_.may_start_tasks()) return false;
+      const WorkerLink* const link = self->hooks_.find_link(worker);
+      return link != nullptr && link->may_repeat_start(token);
+    };
+  }
+
   /// Whether this owner has raised its token on the worker since the order was
   /// sent, so that a refusal does not show a later owner.
   bool HasRaisedToken(const WorkerId& worker, FencingToken sent) const {
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -89,6 +89,10 @@
            !IsAcknowledgementOverdue();
   }
 
+  bool may_repeat_start(FencingToken token) const {
+    return token == token_ && !is_unresponsive_;
+  }
+
  private:
   void RecordDeadline(std::int64_t deadline_ms) {
     latest_deadline_ms_ = std::max(latest_deadline_ms_, deadline_ms);
@@ -510,6 +514,9 @@
 bool WorkerLink::has_open_orders() const { return impl_->has_open_orders(); }
 bool WorkerLink::needs_token() const { return impl_->needs_token(); }
 bool WorkerLink::may_start() const { return impl_->may_start(); }
+bool WorkerLink::may_repeat_start(FencingToken token) const {
+  return impl_->may_repeat_start(token);
+}
 bool WorkerLink::is_lost() const { return impl_->is_lost(); }
 
 }  // namespace pomelomill
--- a/libs/jobserver/test/order_rights_test.cc
+++ b/libs/jobserver/test/order_rights_test.cc
@@ -125,6 +125,59 @@
   }
 }
 
+// Guards against TWICE: the owner itself sent a further copy of a start to the
+// next incarnation of its worker, under the token of the first copy.
+TEST_CASE("a start is not repeated once its worker is listed as restarted") {
+  for (const bool is_restarted : {false, true}) {
+    CAPTURE(is_restarted);
+    Fixture it;
+    // Repeats are quick only after answers that were.
+    constexpr int kAnswered = 12;
+    constexpr std::int64_t kLateClockMs = 1'000'000;
+    it.platform.workers.start =
+        [&it](const WorkerAddress&, const StartRequest&,
+              const std::function<void(StartResponse)>& done) {
+          if (++it.orders > kAnswered) return;
+          it.timers.ScheduleAfter(milliseconds(1), [done] {
+            done({StartOutcome::kStarted, kLateClockMs});
+          });
+        };
+    const FencingToken token = it.Acquire(kPool);
+    PoolOwner owner(it.platform, it.timers, it.settings, kPool, token,
+                    {.on_lost = [] {},
+                     .starts_allowed_until = [&] { return it.AllowedUntil(); },
+                     .orders_allowed_until = [&] { return it.AllowedUntil(); },
+                     .wall_ms = [] { return 0; }});
+    FleetConfig config;
+    config.queues.push_back({.id = kQueue, .pool = kPool});
+    config.pools.push_back({.id = kPool});
+    owner.Start(config);
+    it.timers.Advance(milliseconds(500));
+    ListedWorker worker{
+        .spec = {.id = kWorker, .capacity = {16'000, 16'000, 0}},
+        .pool = kPool,
+        .address = "w:1"};
+    worker.spec.started_ms = 1;
+    owner.OnWorkers({worker});
+    it.timers.Advance(seconds(2));
+    it.store_.Put(
+        JobKey(kPool, JobId("00000000000000aa")),
+        EncodeStoredJob({.queue = kQueue, .spec = ChainJob(1, kAnswered)}));
+    it.timers.Advance(seconds(1));
+    REQUIRE(it.orders == kAnswered);
+    it.store_.Put(JobKey(kPool, JobId("00000000000000bb")),
+                  EncodeStoredJob({.queue = kQueue, .spec = ChainJob(1, 1)}));
+    while (it.orders <= kAnswered) it.timers.Advance(milliseconds(1));
+    it.timers.Advance(milliseconds(50));
+    if (is_restarted) {
+      worker.spec.started_ms = 2;
+      owner.OnWorkers({worker});
+    }
+    it.timers.Advance(milliseconds(200));
+    CHECK((it.orders == kAnswered + 1) == is_restarted);
+  }
+}
+
 TEST_CASE("a VM is not maintained when the decision outlasts the lease") {
   for (const bool outlasts : {false, true}) {
     CAPTURE(outlasts);
