Keep the tokens of earlier orders when a worker's address changes

The new link takes the highest token of the former link's orders over, so that the process gets no task before it has responded to a higher one.

Test: worker_link_test, "a worker at another address gets tasks only with a higher token".

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -138,6 +138,9 @@
   void OnListed(std::int64_t started_ms);
   /// WorkerLinkHooks::newest_token() has become higher.
   void OnNewerToken();
+  /// Calls that `former` made on the worker, at another address, may still be
+  /// carried out. To be called before Start().
+  void InheritOrders(const WorkerLink& former);
 
   const WorkerAddress& address() const;
   /// Fencing token for orders to the worker.
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -353,10 +353,13 @@
     auto& link = links_[worker.id];
     if (link != nullptr && link->address() == worker) return;
     lost_workers_.erase(worker.id);
-    link = std::make_unique<WorkerLink>(
-        platform_.workers, timers_, worker, newest_token_, LinkHooks(worker.id),
-        WorkerLinkOptions{.task_lease = settings_.task_lease,
-                          .max_inherited_lease = inherited_lease});
+    const auto former = std::exchange(
+        link, std::make_unique<WorkerLink>(
+                  platform_.workers, timers_, worker, newest_token_,
+                  LinkHooks(worker.id),
+                  WorkerLinkOptions{.task_lease = settings_.task_lease,
+                                    .max_inherited_lease = inherited_lease}));
+    if (former != nullptr) link->InheritOrders(*former);
     link->Start();
   }
 
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -61,6 +61,10 @@
     SendRenewal();
   }
 
+  void InheritOrders(const Impl& former) {
+    order_token_ = std::max(order_token_, former.order_token_);
+  }
+
   const WorkerAddress& address() const { return address_; }
   bool is_lost() const { return is_lost_; }
   FencingToken token() const { return token_; }
@@ -503,6 +507,9 @@
   impl_->OnListed(started_ms);
 }
 void WorkerLink::OnNewerToken() { impl_->OnNewerToken(); }
+void WorkerLink::InheritOrders(const WorkerLink& former) {
+  impl_->InheritOrders(*former.impl_);
+}
 const WorkerAddress& WorkerLink::address() const { return impl_->address(); }
 std::optional<std::int64_t> WorkerLink::order_deadline_ms() const {
   return impl_->order_deadline_ms();
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -20,7 +20,8 @@
 /// A link whose renewals are answered by the test.
 class LinkFixture {
  public:
-  LinkFixture() {
+  /// `former` is a link to the worker at another address, or null.
+  explicit LinkFixture(const WorkerLink* former = nullptr) {
     calls_.renew = [this](const WorkerAddress&, const RenewRequest& call,
                           std::function<void(Result<WorkerReport>)> done) {
       sent.push_back(call);
@@ -43,6 +44,7 @@
         calls_, timers,
         WorkerAddress{.id = WorkerId("w"), .address = "127.0.0.1:1"},
         FencingToken(1), hooks);
+    if (former != nullptr) link->InheritOrders(*former);
     link->Start();
   }
 
@@ -553,6 +555,21 @@
   }
 }
 
+// Guards against TWICE: a link to another address of a worker knew nothing of
+// the orders that were sent to the former one, and took its token for higher.
+TEST_CASE("a worker at another address gets tasks only with a higher token") {
+  LinkFixture former;
+  former.Answer(1000);
+  former.link->TrackStart (*former.link->order_deadline_ms())(false);
+  LinkFixture fixture(former.link.get());
+  fixture.Answer(20, 2);
+  CHECK_FALSE(fixture.link->may_start());
+  fixture.newest_token = FencingToken(5);
+  fixture.link->OnNewerToken();
+  fixture.Answer(30, 2);
+  CHECK(fixture.link->may_start());
+}
+
 // Guards against a worker that gets no tasks, or whose end is noticed late,
 // because one connection ended; and against a deadline that its owner does not
 // count.
