Poll an idle worker as a busy one while a start to it is open

While a start of the link has no answer (13 s), the worker is polled as one with tasks: 0.6 s and 0.8 s.

Test: worker_link_test, "a worker without tasks is polled more often while a start is open".

--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -20,8 +20,9 @@
   /// worker that stops responding is detected after this time plus the timeout
   /// of a call.
   Duration long_poll_wait = std::chrono::milliseconds(600);
-  /// As long_poll_wait, for a worker on which no task is placed: nothing there
-  /// can fail, and idle workers are most of a fleet between load peaks.
+  /// As long_poll_wait, for a worker on which no task is placed and to which no
+  /// start of this link is open: nothing there can fail, and idle workers are
+  /// most of a fleet between load peaks.
   Duration idle_long_poll_wait = std::chrono::milliseconds(1800);
   /// Delay before the next renewal after a failed one, or while a higher token
   /// is requested.
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -113,9 +113,11 @@
 
   void OnStartOutcome(bool is_outcome_known) {
     --pending_starts_;
-    if (!is_outcome_known)
-      unanswered_orders_until_ =
+    if (!is_outcome_known) {
+      unanswered_starts_until_ =
           timers_.Now() + options_.unanswered_order_lifetime;
+      unanswered_orders_until_ = unanswered_starts_until_;
+    }
     // The response to the next renewal permits the overdue acknowledgement that
     // keeps starts from being sent.
     if (!is_halted_ && is_probe_delayed_ && IsAcknowledgementOverdue() &&
@@ -218,8 +220,10 @@
     const bool may_wait = clock_ms_ && is_reachable && !needs_token_ &&
                           !hooks_.has_unstored_ends() && !is_probing_;
     if (may_wait) {
-      request.max_wait = hooks_.has_tasks() ? options_.long_poll_wait
-                                            : options_.idle_long_poll_wait;
+      const bool is_watched =
+          hooks_.has_tasks() || timers_.Now() < unanswered_starts_until_;
+      request.max_wait =
+          is_watched ? options_.long_poll_wait : options_.idle_long_poll_wait;
     }
     if (request.deadline_ms) RecordDeadline(*request.deadline_ms);
     if (request.deadline_ms || request.acknowledged_up_to != 0)
@@ -455,6 +459,8 @@
   std::size_t pending_starts_ = 0;
   /// An order without a response may be carried out until then.
   Instant unanswered_orders_until_{};
+  /// As unanswered_orders_until_, for starts of this link alone.
+  Instant unanswered_starts_until_{};
   /// Since when ended tasks have not been acknowledged because the worker may
   /// be in another incarnation; empty when nothing is held up.
   std::optional<Instant> ack_blocked_since_;
--- a/libs/jobserver/test/worker_link_test.cc
+++ b/libs/jobserver/test/worker_link_test.cc
@@ -503,6 +503,24 @@
   CHECK(fixture.lost_count == 0);
 }
 
+// Guards against a late start that reaches the next incarnation of a worker
+// while the store, which would list it, cannot be read.
+TEST_CASE("a worker without tasks is polled more often while a start is open") {
+  LinkFixture fixture;
+  fixture.Answer(1000);
+  fixture.has_tasks = false;
+  fixture.link->TrackStart (*fixture.link->order_deadline_ms())(false);
+  fixture.Answer(1010);
+  CHECK(fixture.sent.back().max_wait == WorkerLinkOptions{}.long_poll_wait);
+  const Duration lifetime = WorkerLinkOptions{}.unanswered_order_lifetime;
+  for (Duration it{}; it < lifetime; it += milliseconds(500)) {
+    fixture.timers.Advance(milliseconds(500));
+    fixture.Answer(1510 + ToMillis(it));
+  }
+  CHECK(fixture.sent.back().max_wait ==
+        WorkerLinkOptions{}.idle_long_poll_wait);
+}
+
 // Guards against a takeover that waits on connections that an earlier ownership
 // of the same process has left.
 TEST_CASE("the first call of a link is sent on a new connection") {
