Keep idle connections to a peer that responds on others

Cause: a call to a slow peer that times out, while the peer responds on other connections, closed the idle ones that had not been used since.

What is left: when only a part of the connections to a peer has gone silent, they are found one by one.

http_client_test passes as it was.

--- a/libs/http/include/pomelomill/http/persistent_http_client.h
+++ b/libs/http/include/pomelomill/http/persistent_http_client.h
@@ -29,9 +29,9 @@
 /// copy. A GET, which has no effects, is sent once more on a new connection
 /// when a reused one ends before the first byte of the response.
 ///
-/// When a request times out without a byte of the response, the idle
-/// connections to the peer that have not responded since it was sent are
-/// closed: they may have gone silent together.
+/// When a request times out without a byte of the response, and the peer has
+/// not responded on another connection since it was sent, the idle connections
+/// to the peer are closed: they may have gone silent together.
 class PersistentHttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
--- a/libs/http/src/persistent_http_client.cc
+++ b/libs/http/src/persistent_http_client.cc
@@ -94,7 +94,6 @@
   std::string authority;
   /// The exchange that the connection carries; 0 while it is idle.
   ExchangeId exchange = 0;
-  Clock::time_point last_response_at{};
   bool is_waiting_for_bytes = false;
   /// A part of the request is still to be written.
   bool is_writing = false;
@@ -175,7 +174,7 @@
     exchange.ends_at = Clock::now() + exchange.request.timeout;
     SetDeadline(id, exchange, exchange.ends_at);
     if (exchange.request.distrusts_idle_connections)
-      CloseIdle(exchange.target.authority, Clock::time_point::max());
+      CloseIdle(exchange.target.authority);
     if (!exchange.request.use_fresh_connection) {
       if (ConnectionPtr idle = TakeIdle(id, exchange.target.authority)) {
         exchange.is_connection_reused = true;
@@ -239,16 +238,11 @@
     WaitForBytes(connection);
   }
 
-  /// Closes the idle connections to the peer that have not responded since.
-  void CloseIdle(const std::string& authority, Clock::time_point since) {
+  void CloseIdle(const std::string& authority) {
     const auto it = idle_.find(authority);
     if (it == idle_.end()) return;
-    std::erase_if(it->second, [since](const ConnectionPtr& connection) {
-      const bool is_closed = connection->last_response_at <= since;
-      if (is_closed) Close(*connection);
-      return is_closed;
-    });
-    if (it->second.empty()) idle_.erase(it);
+    for (const ConnectionPtr& connection : it->second) Close(*connection);
+    idle_.erase(it);
   }
 
   void DropIdle(const ConnectionPtr& connection) {
@@ -373,7 +367,7 @@
     HttpResult result;
     result.response = connection->reader.TakeResponse();
     closed_by_peer_.erase(connection->authority);
-    connection->last_response_at = Clock::now();
+    last_response_at_[connection->authority] = Clock::now();
     if (connection->reader.keeps_connection() && !connection->is_writing &&
         !exchange.request.use_fresh_connection) {
       KeepIdle(connection);
@@ -437,11 +431,16 @@
 
   void OnTimeout(ExchangeId id) {
     const Exchange& exchange = exchanges_.at(id);
-    const bool is_silent =
-        exchange.may_have_been_sent && !exchange.connection->reader.has_begun();
+    const std::string& authority = exchange.target.authority;
     // Connections may go silent without a reset, all of those to a peer at
-    // once. Only the ones that have responded meanwhile have certainly not.
-    if (is_silent) CloseIdle(exchange.target.authority, exchange.written_at);
+    // once. A peer that has responded on another one meanwhile is only slow, or
+    // leaves single calls unanswered.
+    const auto last_response = last_response_at_.find(authority);
+    const bool is_silent = exchange.may_have_been_sent &&
+                           !exchange.connection->reader.has_begun() &&
+                           (last_response == last_response_at_.end() ||
+                            last_response->second <= exchange.written_at);
+    if (is_silent) CloseIdle(authority);
     Finish(id, HttpError::kTimeout);
   }
 
@@ -456,6 +455,8 @@
   std::map<std::string, std::vector<ConnectionPtr>> idle_;
   /// Peers by "host:port", see HttpResult::has_peer_closed.
   std::set<std::string> closed_by_peer_;
+  /// When each peer, by "host:port", last responded.
+  std::map<std::string, Clock::time_point> last_response_at_;
   std::array<char, kReadBufferBytes> read_buffer_{};
   ExchangeId next_id_ = 1;
   bool is_stopped_ = false;
