Estimate for each pool how long a new job waits for cores

Cause: in a peak of several times a pool's capacity nobody could tell whether a job that arrives now can still be of use.

Change: Dispatcher::backlog() gives the waiting work that ranks before a newcomer, by priority and by size of the jobs, since small jobs are served first. It is linear in the unfinished jobs and the placed tasks, and computed at most every 200 ms. Long-running tasks only reduce the usable cores. The order of jobs is unchanged.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 
 #include "pomelomill/base/late_calls.h"
 #include "pomelomill/base/time.h"
+#include "pomelomill/dispatch/backlog.h"
 #include "pomelomill/dispatch/job_progress.h"
 #include "pomelomill/dispatch/job_spec.h"
 #include "pomelomill/dispatch/worker_report.h"
@@ -323,6 +324,10 @@
   /// started. Timed jobs count from their first due time on.
   std::uint32_t WaitingJobs(const QueueId& queue) const;
   DispatchLoad load() const;
+  /// Returns the work that ranks before a job that arrives now, computed at
+  /// most every 200 ms. nullopt while it is not known: during a takeover, and
+  /// while the pool has no usable cores.
+  std::optional<PoolBacklog> backlog(Instant now);
   /// Number of jobs that are not finished.
   std::size_t active_jobs() const;
   /// Number of tasks that are placed on a worker: starting, running or
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -400,6 +400,10 @@
 
 DispatchLoad Dispatcher::load() const { return impl_->load(); }
 
+std::optional<PoolBacklog> Dispatcher::backlog(Instant now) {
+  return impl_->backlog(now);
+}
+
 std::size_t Dispatcher::active_jobs() const { return impl_->unfinished_jobs(); }
 
 std::size_t Dispatcher::running_tasks() const {
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -71,6 +71,7 @@
   TrackedJob* FindJob(const JobId& id);
   const TrackedJob* FindJob(const JobId& id) const;
   DispatchLoad load() const;
+  std::optional<PoolBacklog> backlog(Instant now);
   /// Whether the worker uses few of its cores and runs no long-running task.
   bool IsLightlyLoaded(const PoolWorker& worker) const;
   std::uint32_t WaitingJobs(const QueueId& queue) const;
@@ -83,6 +84,11 @@
  private:
   using WallMs = std::int64_t;
 
+  /// A backlog is computed at most this often.
+  static constexpr Duration kBacklogInterval = std::chrono::milliseconds(200);
+
+  std::optional<PoolBacklog> ComputeBacklog(Instant now);
+
   /// Returns the terms that apply to the job; null when they are unknown.
   const QueueTerms* FindTerms(const TrackedJob& job) const;
   /// Returns the policy by which the job is ranked: that of its terms, else one
@@ -253,6 +259,9 @@
   std::set<TaskKey> tasks_to_run_alone_;
   /// Inherited tasks with an unfinished run.
   std::set<TaskKey> unfinished_runs_;
+  /// The latest backlog and when it was computed.
+  std::optional<PoolBacklog> backlog_;
+  std::optional<Instant> backlog_at_;
   /// Set only while a plan is being made.
   std::optional<PlacementSearch> search_;
   /// Jobs whose progress has changed since the last batch.
