Tell all entries the backlog of each pool

Cause: an entry that takes submissions does not know whether the pool, which another entry owns, is overloaded.

ClusterView ignores a record whose token is not that of the owner key, and Coordinator one that it has not been able to follow for the time of an entry's lease. A change of a backlog does not start the choice of owners.

--- a/libs/jobserver/include/pomelomill/jobserver/coordinator.h
+++ b/libs/jobserver/include/pomelomill/jobserver/coordinator.h
@@ -66,6 +66,10 @@
   /// Time of the store's latest response to the configuration watch; nullopt
   /// before the first one.
   std::optional<Instant> last_store_contact() const;
+  /// Backlog that the pool's owner has published; null when there is none, or
+  /// when the store has not responded for the time of an entry's lease, so that
+  /// the owner may be lost. Valid until the next event.
+  const PoolBacklog* FindBacklog(const PoolId& pool) const;
   /// Number of pools that this entry owns, without the fleet role.
   std::size_t owned_pools() const;
 
--- a/libs/jobserver/src/cluster_view.cc
+++ b/libs/jobserver/src/cluster_view.cc
@@ -219,9 +219,34 @@
     owners_[pool] = {*owner, change.version};
     return true;
   }
+  if (IsBacklogKey(change.key)) {
+    const PoolId pool(
+        change.key.substr(std::string_view(kBacklogPrefix).size()));
+    backlogs_.erase(pool);
+    if (change.is_removed) return true;
+    auto record = DecodeBacklog(change.value);
+    if (!record) return false;
+    backlogs_[pool] = *std::move(record);
+    return true;
+  }
   return false;
 }
 
+bool ClusterView::IsBacklogKey(const std::string& key) {
+  return key.starts_with(kBacklogPrefix);
+}
+
+const PoolBacklog* ClusterView::FindBacklog(const PoolId& pool) const {
+  const auto it = backlogs_.find(pool);
+  const Owner* const owner = FindOwner(pool);
+  // The record of a former owner may outlive its ownership, which ends before
+  // the lease in a hand-over.
+  if (it == backlogs_.end() || owner == nullptr ||
+      owner->version.value() != it->second.token.value())
+    return nullptr;
+  return &it->second.backlog;
+}
+
 const ClusterView::Owner* ClusterView::FindOwner(const PoolId& pool) const {
   const auto it = owners_.find(pool);
   return it == owners_.end() ? nullptr : &it->second;
--- a/libs/jobserver/src/cluster_view.h
+++ b/libs/jobserver/src/cluster_view.h
@@ -11,8 +11,8 @@
 
 namespace pomelomill {
 
-/// Local copy of the cluster state in the store: the registered entries and the
-/// owner of each pool.
+/// Local copy of the cluster state in the store: the registered entries, the
+/// owner of each pool and the backlogs that the owners publish.
 class ClusterView {
  public:
   struct Owner {
@@ -33,6 +33,11 @@
   const std::map<PoolId, Owner>& owners() const { return owners_; }
   /// Null when the pool has no owner.
   const Owner* FindOwner(const PoolId& pool) const;
+  /// Backlog that the pool's present owner has published; null when it has
+  /// published none.
+  const PoolBacklog* FindBacklog(const PoolId& pool) const;
+  /// Whether the key is that of a backlog, which has no part in who owns what.
+  static bool IsBacklogKey(const std::string& key);
   /// Address ("HOST:PORT") at which the pool's owner serves its peers; nullopt
   /// when the pool has no owner or the owner is not registered.
   std::optional<std::string> OwnerAddress(const PoolId& pool) const;
@@ -47,6 +52,7 @@
   std::map<EntryId, MemberRecord> members_;
   std::map<EntryId, Version> registrations_;
   std::map<PoolId, Owner> owners_;
+  std::map<PoolId, BacklogRecord> backlogs_;
 };
 
 /// Kind of a role. A role is work that one entry at a time owns: a pool, or the
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -82,6 +82,12 @@
   std::optional<Instant> last_store_contact() const {
     return config_follower_.last_contact();
   }
+  const PoolBacklog* FindBacklog(const PoolId& pool) const {
+    const auto contact = cluster_follower_.last_contact();
+    const bool is_recent =
+        contact && timers_.Now() - *contact < settings_.entry_lease;
+    return is_recent ? view_.FindBacklog(pool) : nullptr;
+  }
   std::size_t owned_pools() const { return pools_.size(); }
 
   std::optional<JobPhase> FindJobPhase(const PoolId& pool,
@@ -139,7 +145,9 @@
                 [this](const StoredKey& change) {
                   if (!view_.Apply(change))
                     Event("cluster", "bad-record", {{"key", change.key}});
-                  if (!cluster_follower_.is_loaded()) return;
+                  if (ClusterView::IsBacklogKey(change.key) ||
+                      !cluster_follower_.is_loaded())
+                    return;
                   ownership_.Update();
                   for (auto& [id, pool] : pools_) pool->OnClusterChange();
                 },
@@ -225,6 +233,7 @@
                 [this](const WorkerId& it) {
                   worker_directory_.Follow(it, kLateCallLifetime);
                 },
+            .lease = lease,
             .incarnation = incarnation_,
             .former = FormerOwnershipOf(pool),
             .wall_ms = hooks_.wall_ms,
@@ -351,6 +360,9 @@
 std::optional<Instant> Coordinator::last_store_contact() const {
   return impl_->last_store_contact();
 }
+const PoolBacklog* Coordinator::FindBacklog(const PoolId& pool) const {
+  return impl_->FindBacklog(pool);
+}
 std::size_t Coordinator::owned_pools() const { return impl_->owned_pools(); }
 std::optional<JobPhase> Coordinator::FindJobPhase(const PoolId& pool,
                                                   const JobId& job) const {
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "backlog_publisher.h"
 #include "dispatch_event_fields.h"
 #include "evacuation_tracker.h"
 #include "inherited_leases.h"
@@ -112,6 +113,7 @@
     writer_.reset();
     roster_.reset();
     evacuations_.reset();
+    backlog_publisher_.reset();
     for (const TimerId it : {retry_timer_, cleanup_timer_}) timers_.Cancel(it);
   }
 
@@ -247,6 +249,21 @@
       EnsureLink({id, address}, leases_.Remaining());
     ApplyList();
     ScheduleCleanup();
+    PublishBacklogs();
+  }
+
+  void PublishBacklogs() {
+    backlog_publisher_.emplace(
+        platform_.store, timers_, pool_, token_, hooks_.lease,
+        BacklogPublisherHooks{
+            .estimate = [this] { return dispatcher_->backlog(timers_.Now()); },
+            .may_publish = [this] { return MayStartTasks(); },
+            .on_published =
+                [this](Duration delay, const Status& result) {
+                  Event("backlog", {{"ms", std::to_string(ToMillis(delay))},
+                                    {"stored", YesOrNo(result.has_value())}});
+                }});
+    backlog_publisher_->Start();
   }
 
   void OnKey(const StoredKey& change) {
@@ -597,6 +614,7 @@
   /// Cancellations that were read before their jobs.
   std::set<JobId> pending_cancels_;
   std::optional<EvacuationTracker> evacuations_;
+  std::optional<BacklogPublisher> backlog_publisher_;
   std::function<void()> on_released_;
   TimerId retry_timer_ = 0;
   TimerId cleanup_timer_ = 0;
--- a/libs/jobserver/src/pool_owner.h
+++ b/libs/jobserver/src/pool_owner.h
@@ -35,6 +35,8 @@
   /// registration are to be passed on without delay while the start may still
   /// be carried out. Optional.
   std::function<void(const WorkerId&)> follow_worker;
+  /// Lease to which the owner key is attached.
+  LeaseId lease;
   /// Incarnation of this process.
   IncarnationId incarnation;
   /// The latest ownership of the pool that this process had before, if any.
--- a/libs/jobserver/src/store_keys.h
+++ b/libs/jobserver/src/store_keys.h
@@ -22,6 +22,11 @@
 inline std::string OwnerKey(const PoolId& pool) {
   return kOwnerPrefix + pool.value();
 }
+/// BacklogRecord of a pool. Attached to the owner's lease.
+inline constexpr const char* kBacklogPrefix = "cluster/backlogs/";
+inline std::string BacklogKey(const PoolId& pool) {
+  return kBacklogPrefix + pool.value();
+}
 /// Location (pool and queue) of a job. Written once, when the job is accepted,
 /// which makes acceptance idempotent.
 inline std::string JobLocationKey(const JobId& job) {
--- a/libs/jobserver/src/store_records.cc
+++ b/libs/jobserver/src/store_records.cc
@@ -35,10 +35,38 @@
   return json.at(name).get<std::string>();
 }
 
+/// A text, since these numbers may have 64 bits and a JSON number is exact only
+/// to 53.
+std::uint64_t GetNumberText(const Json& json, const char* name) {
+  const std::string text = GetString(json, name);
+  std::uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parsed, ec] = std::from_chars(text.data(), end, number);
+  if (ec != std::errc() || parsed != end) ThrowOutOfRange(json);
+  return number;
+}
+
+/// More work than any pool has; sums of some of it do not overflow.
+constexpr std::uint64_t kMaxCoreMs = 1'000'000'000'000'000'000;
+
+std::uint64_t GetCoreMs(const Json& json) {
+  const auto core_ms = JsonInteger<std::uint64_t>(json);
+  if (core_ms > kMaxCoreMs) ThrowOutOfRange(json);
+  return core_ms;
+}
+
+PoolBacklog::Level LevelFromJson(const Json& json) {
+  PoolBacklog::Level level;
+  level.priority = JsonInteger<std::uint32_t>(json.at("priority"));
+  const Json& core_ms = json.at("core_ms");
+  if (core_ms.size() != level.core_ms.size()) ThrowOutOfRange(json);
+  for (std::size_t i = 0; i < level.core_ms.size(); ++i)
+    level.core_ms[i] = GetCoreMs(core_ms.at(i));
+  return level;
+}
+
 Json ToJson(const QueueTerms& terms) {
   const QueuePolicy& policy = terms.policy;
-  // A text, since a revision may have 64 bits and a JSON number is exact only
-  // to 53.
   return {{"revision", std::to_string(terms.revision.value())},
           {"priority", policy.priority},
           {"attempts", policy.max_attempts},
@@ -48,12 +76,7 @@
 
 QueueTerms TermsFromJson(const Json& json) {
   QueueTerms terms;
-  const std::string revision = GetString(json, "revision");
-  std::uint64_t number = 0;
-  const char* const end = revision.data() + revision.size();
-  const auto [parsed, ec] = std::from_chars(revision.data(), end, number);
-  if (ec != std::errc() || parsed != end) ThrowOutOfRange(json);
-  terms.revision = Revision(number);
+  terms.revision = Revision(GetNumberText(json, "revision"));
   terms.policy.priority = JsonInteger<std::uint32_t>(json.at("priority"));
   terms.policy.max_attempts = JsonInteger<std::uint32_t>(json.at("attempts"));
   json.at("stretch").get_to(terms.policy.stretch);
@@ -141,6 +164,42 @@
   });
 }
 
+std::string EncodeBacklog(const BacklogRecord& record) {
+  const PoolBacklog& backlog = record.backlog;
+  Json levels = Json::array();
+  for (const auto& it : backlog.levels)
+    levels.push_back({{"priority", it.priority}, {"core_ms", it.core_ms}});
+  Json run_times = Json::object();
+  for (const auto& [queue, mean] : backlog.run_times)
+    run_times[queue.value()] = ToMillis(mean);
+  return Dump({{"token", std::to_string(record.token.value())},
+               {"cpu_millis", backlog.cpu_millis},
+               {"running", backlog.running_core_ms},
+               {"urgent", backlog.urgent_core_ms},
+               {"levels", levels},
+               {"run_ms", run_times}});
+}
+
+Result<BacklogRecord> DecodeBacklog(const std::string& text) {
+  return Decode<BacklogRecord>(text, [](const Json& json, BacklogRecord& it) {
+    it.token = FencingToken(GetNumberText(json, "token"));
+    PoolBacklog& backlog = it.backlog;
+    backlog.cpu_millis = GetCoreMs(json.at("cpu_millis"));
+    if (backlog.cpu_millis == 0) ThrowOutOfRange(json);
+    backlog.running_core_ms = GetCoreMs(json.at("running"));
+    backlog.urgent_core_ms = GetCoreMs(json.at("urgent"));
+    const Json& levels = json.at("levels");
+    if (levels.size() > kMaxBacklogLevels) ThrowOutOfRange(json);
+    for (const Json& level : levels)
+      backlog.levels.push_back(LevelFromJson(level));
+    for (const auto& [queue, mean] : json.at("run_ms").items()) {
+      const std::int64_t ms = JsonMillis(mean);
+      if (ms < 0) ThrowOutOfRange(json);
+      backlog.run_times[QueueId(queue)] = std::chrono::milliseconds(ms);
+    }
+  });
+}
+
 std::string EncodeMaintainedVms(const std::set<VmId>& vms) {
   Json json = Json::array();
   for (const VmId& it : vms) json.push_back(it.value());
--- a/libs/jobserver/src/store_records.h
+++ b/libs/jobserver/src/store_records.h
@@ -12,6 +12,7 @@
 #include "pomelomill/config/job_service_settings.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/dispatch/job_spec.h"
+#include "pomelomill/jobserver/worker_calls.h"
 
 namespace pomelomill {
 
@@ -85,6 +86,16 @@
   bool is_released = false;
 };
 
+/// Backlog of a pool as its owner published it.
+struct BacklogRecord {
+  /// Of the ownership under which the record was written.
+  FencingToken token;
+  PoolBacklog backlog;
+};
+
+std::string EncodeBacklog(const BacklogRecord& record);
+Result<BacklogRecord> DecodeBacklog(const std::string& text);
+
 /// Encoding of the VMs of a wave that have been maintained.
 std::string EncodeMaintainedVms(const std::set<VmId>& vms);
 Result<std::set<VmId>> DecodeMaintainedVms(const std::string& text);
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -396,6 +396,12 @@
   return owner ? std::stoi(owner->entry.value().substr(1)) : -1;
 }
 
+const PoolBacklog* JobWorld::Backlog(std::size_t i, std::size_t pool) const {
+  return entries_[i] == nullptr
+             ? nullptr
+             : entries_[i]->coordinator->FindBacklog(PoolId(PoolName(pool)));
+}
+
 void JobWorld::StartWave(const std::string& wave, std::uint32_t max_down) {
   vms_->SetWave({.id = WaveId(wave), .vms = vm_ids_, .max_down = max_down});
   store_->Put("op/wave/" + wave, std::to_string(max_down));
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -116,6 +116,10 @@
   /// Index of the entry that owns the fleet role; -1 for none.
   int FleetOwner() const;
 
+  /// Backlog of the pool as entry `i` knows it; null for none.
+  const PoolBacklog* Backlog(std::size_t i, std::size_t pool) const;
+  TimerService& timers() { return time_; }
+
   WorkerId worker(std::size_t pool, std::size_t n) const;
   void ListWorker(const WorkerId& worker, bool is_draining = false);
   void UnlistWorker(const WorkerId& worker);
--- a/libs/jobserver/test/store_records_mutation_test.cc
+++ b/libs/jobserver/test/store_records_mutation_test.cc
@@ -84,6 +84,9 @@
                                            .stretch = 2,
                                            .target_latency = time},
                                           Revision(7)}};
+  BacklogRecord backlog{.token = FencingToken(7)};
+  backlog.backlog.levels = {{.priority = 1, .core_ms = {1, 2, 3}}};
+  backlog.backlog.run_times[QueueId("q")] = time;
   using Text = const std::string&;
   return {
       {EncodeStoredJob(job),
@@ -99,6 +102,8 @@
       {EncodeLoad(load), [](Text it) { return DecodeLoad(it).has_value(); }},
       {EncodeMember(member),
        [](Text it) { return DecodeMember(it).has_value(); }},
+      {EncodeBacklog(backlog),
+       [](Text it) { return DecodeBacklog(it).has_value(); }},
       {EncodeOwner({EntryId("e"), IncarnationId("i")}),
        [](Text it) { return DecodeOwner(it).has_value(); }},
       {EncodeMaintainedVms({VmId("v")}),
