Reject jobs that an overloaded pool cannot serve in time to be of use

Cause: callers of an overloaded pool wait for a result that comes too late, and learn nothing of when to return.

A rejection is 503 with a Retry-After in whole seconds, and is said only when no submission of the id is under way at this entry, no commit of it is open there, and a linearizable read that began after the submission arrived does not find it. When the read gets no answer, the job goes to the acceptor as before. A rejected attempt writes nothing. What remains is an attempt of the same id whose commit is open at another entry, see docs/design/admission.md. Metrics for rejections, times to return and backlogs; reasons in the answer lines.

--- a/libs/jobserver/src/job_metrics.cc
+++ b/libs/jobserver/src/job_metrics.cc
@@ -91,6 +91,29 @@
       .Set(static_cast<double>(pools));
 }
 
+void JobMetrics::ObserveRejection(const std::string& queue,
+                                  const std::string& reason,
+                                  Duration retry_after) {
+  registry_
+      .counter("pomelomill_admission_rejected_total",
+               "Submissions rejected because of the pool's backlog.",
+               {{"queue", queue}, {"reason", reason}})
+      .Add();
+  registry_
+      .histogram("pomelomill_admission_retry_after_seconds",
+                 "Time after which rejected callers were told to return.",
+                 {{"queue", queue}})
+      .Observe(ToSeconds(retry_after));
+}
+
+void JobMetrics::SetBacklog(const std::string& pool, Duration drain_time) {
+  registry_
+      .gauge("pomelomill_pool_backlog_seconds",
+             "Time to drain the published backlog of the pool.",
+             {{"pool", pool}})
+      .Set(ToSeconds(drain_time));
+}
+
 std::string JobMetrics::Text() const { return registry_.Text(); }
 
 TransactionClient InstrumentStoreClient(TransactionClient inner,
--- a/libs/jobserver/src/job_metrics.h
+++ b/libs/jobserver/src/job_metrics.h
@@ -29,6 +29,11 @@
   void ObserveLoopDelay(Duration delay);
   void ObserveDecision(std::string_view decision, Duration took);
   void SetOwnedPools(std::size_t pools);
+  /// Records a submission that was rejected because of the pool's backlog.
+  void ObserveRejection(const std::string& queue, const std::string& reason,
+                        Duration retry_after);
+  /// Sets the drain time of the backlog of a pool as this entry knows it.
+  void SetBacklog(const std::string& pool, Duration drain_time);
 
   /// All metrics in Prometheus text exposition format, version 0.0.4.
   std::string Text() const;
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -8,12 +8,14 @@
 #include "job_lookup.h"
 #include "job_metrics.h"
 #include "loop_monitor.h"
+#include "pomelomill/base/hash.h"
 #include "pomelomill/http/http_listener.h"
 #include "pomelomill/http/persistent_http_client.h"
 #include "pomelomill/jobserver/coordinator.h"
 #include "pomelomill/jobserver/job_api_router.h"
 #include "pomelomill/store/store_error.h"
 #include "store_keys.h"
+#include "submission_gate.h"
 
 namespace pomelomill {
 namespace {
@@ -90,6 +92,7 @@
                    QueryPeer(http, address, path, std::move(done));
                  }}),
         lookup_(platform_.store, http, coordinator_.view(), MakeLocalPools()),
+        gate_(timers_, StableHash(incarnation_.value()), MakeGateHooks()),
         loop_monitor_(
             timers_,
             {.on_sample =
@@ -118,6 +121,7 @@
       metrics_listener_ =
           MakeListener(settings_.metrics_address, [this](auto, auto respond) {
             metrics_.SetOwnedPools(coordinator_.owned_pools());
+            SetBacklogMetrics();
             respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                      .body = metrics_.Text()});
           });
@@ -251,8 +255,33 @@
   }
 
   /// An error response with a Retry-After header.
-  static OutgoingResponse RetryableError(int status) {
-    return {.status = status, .headers = {{"Retry-After", kRetryAfterSeconds}}};
+  static OutgoingResponse RetryableError(
+      int status, std::string seconds = kRetryAfterSeconds) {
+    return {.status = status, .headers = {{"Retry-After", std::move(seconds)}}};
+  }
+
+  SubmissionGateHooks MakeGateHooks() {
+    return {
+        .may_become_stored =
+            [this](const JobId& it) { return acceptor_.MayBecomeStored(it); },
+        .find_location =
+            [this](const JobId& job, auto done) {
+              lookup_.FindLocation(job, std::move(done));
+            },
+        .find_backlog =
+            [this](const PoolId& it) { return coordinator_.FindBacklog(it); },
+        .count_entries =
+            [this] { return coordinator_.view().members().size(); }};
+  }
+
+  void SetBacklogMetrics() {
+    if (coordinator_.config() == nullptr) return;
+    for (const PoolConfig& it : coordinator_.config()->pools) {
+      const PoolBacklog* const backlog = coordinator_.FindBacklog(it.id);
+      metrics_.SetBacklog(it.id.value(), backlog == nullptr
+                                             ? Duration(0)
+                                             : backlog->DrainTime());
+    }
   }
 
   static OutgoingResponse JsonResponse(std::string body) {
@@ -289,18 +318,36 @@
                  const IncomingRequest& request, const ReplyHook& reply) {
     if (request.body.size() > coordinator_.config()->max_body_bytes)
       return reply({.status = 413}, "body exceeds the configured maximum size");
-    const auto spec = platform_.decode_job(request.body);
+    auto spec = platform_.decode_job(request.body);
     if (!spec || !CheckJob(*spec))
       return reply({.status = 400}, "malformed or invalid job");
-    const JobLocation location{api_request.queue->pool, api_request.queue->id};
+    const auto stored = std::make_shared<StoredJob>(
+        StoredJob{.queue = api_request.queue->id,
+                  .spec = *std::move(spec),
+                  .terms = QueueTerms{api_request.queue->policy,
+                                      coordinator_.config()->revision}});
+    gate_.Decide(
+        api_request.job, *api_request.queue, stored->spec,
+        [this, reply, stored, job = api_request.job,
+         pool = api_request.queue->pool](std::optional<Rejection> rejection) {
+          if (!rejection) return StoreJob(job, pool, *stored, reply);
+          metrics_.ObserveRejection(
+              stored->queue.value(), ToText(rejection->reason),
+              std::chrono::seconds(rejection->retry_after_s));
+          const std::string seconds = std::to_string(rejection->retry_after_s);
+          reply(RetryableError(503, seconds),
+                "pool overloaded: " + std::string(ToText(rejection->reason)) +
+                    ", retry after " + seconds + " s");
+        });
+  }
+
+  void StoreJob(const JobId& id, const PoolId& pool, const StoredJob& stored,
+                const ReplyHook& reply) {
+    gate_.OnSubmitted(id);
     acceptor_.Submit(
-        api_request.job, location,
-        EncodeStoredJob({.queue = api_request.queue->id,
-                         .spec = *spec,
-                         .terms = QueueTerms{api_request.queue->policy,
-                                             coordinator_.config()->revision}}),
-        [this, reply, job = api_request.job](AcceptOutcome outcome,
-                                             const JobLocation& stored) {
+        id, {pool, stored.queue}, EncodeStoredJob(stored),
+        [this, reply, id](AcceptOutcome outcome, const JobLocation& location) {
+          gate_.OnAnswered(id);
           if (outcome == AcceptOutcome::kRefused)
             return reply(
                 RetryableError(503),
@@ -309,7 +356,7 @@
             return reply(
                 RetryableError(504),
                 "outcome unknown: the store did not confirm the commit");
-          lookup_.CacheLocation(job, stored);
+          lookup_.CacheLocation(id, location);
           reply(JsonResponse("{}"), "stored");
         });
   }
@@ -395,6 +442,7 @@
   JobAcceptor acceptor_;
   Coordinator coordinator_;
   JobLookup lookup_;
+  SubmissionGate gate_;
   LoopMonitor loop_monitor_;
   std::unique_ptr<HttpListener> caller_listener_;
   std::unique_ptr<HttpListener> ready_listener_;
--- a/libs/jobserver/test/job_server_test.cc
+++ b/libs/jobserver/test/job_server_test.cc
@@ -7,6 +7,7 @@
 #include "pomelomill/base/asio_timer_service.h"
 #include "pomelomill/http.h"
 #include "pomelomill/store/store_error.h"
+#include "store_keys.h"
 #include "store_records.h"
 
 namespace pomelomill {
@@ -35,6 +36,7 @@
         PrefixRead read{.version = Version(9)};
         if (prefix == "config" && has_config)
           read.items.push_back({.key = "config", .version = Version(3)});
+        if (prefix == kClusterPrefix) read.items = cluster;
         done(read);
       });
     };
@@ -128,6 +130,8 @@
   std::error_code commit_error;
   std::error_code read_error;
   std::map<std::string, std::string> values;
+  /// Members, owners and backlogs.
+  std::vector<StoredKey> cluster;
   /// All writes that were sent, by key.
   std::map<std::string, std::string> sent;
   std::vector<std::string> events;
@@ -239,6 +243,40 @@
   }
 }
 
+TEST_CASE("an overloaded pool rejects a job that is not stored") {
+  // Guards against 503, which promises that the job never runs, for a job that
+  // is stored or being stored, and against a rejection without a time.
+  Server server;
+  const PoolId pool("p");
+  PoolBacklog backlog;
+  backlog.cpu_millis = 1'000;
+  backlog.urgent_core_ms = 20'000;
+  server.cluster = {{.key = OwnerKey(pool),
+                     .value = EncodeOwner({EntryId("f"), IncarnationId("f.1")}),
+                     .version = Version(7)},
+                    {.key = BacklogKey(pool),
+                     .value = EncodeBacklog({FencingToken(7), backlog}),
+                     .version = Version(8)}};
+  server.Start();
+  const std::string path = std::string("/quotes/") + kJob;
+  const auto rejected = server.Ask("POST", path, "good");
+  CHECK(rejected.status == 503);
+  CHECK(std::stoi(std::string(rejected.header("Retry-After"))) >= 20);
+  CHECK(server.sent.empty());
+  CHECK(server.HasEvent("reason=pool overloaded: no-use, retry after "));
+  const auto early = server.Ask("POST", path, "good");
+  CHECK(early.status == 503);
+  CHECK(server.HasEvent("reason=pool overloaded: early, retry after "));
+  for (const char* it : {"pomelomill_admission_rejected_total{",
+                         "pomelomill_admission_retry_after_seconds_"}) {
+    CAPTURE(it);
+    CHECK(server.Metrics().find(it) != std::string::npos);
+  }
+  server.values[std::string("ids/") + kJob] =
+      EncodeJobLocation({PoolId("p"), QueueId("q")});
+  CHECK(server.Ask("POST", path, "good").status == 200);
+}
+
 TEST_CASE("a job is stored with the terms of its queue") {
   // Guards against a later owner that has no policy for the job, since its
   // queue is not in the configuration any more.
