--- a/tools/soak/entry_process.cc
+++ b/tools/soak/entry_process.cc
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <system_error>
 #include <utility>
+#include <vector>
 
 #include "wire.h"
 
@@ -44,8 +45,8 @@
       << "\nmetrics = " << metrics_
       << "\n\n[store]\naddress = " << options_.store_address
       << "\n\n[fleet]\naddress = " << options_.machines_address
-      << "\n\n[resources]\ncpu_share = 1\ncores = 1\nmemory_mb = 512\n"
-         "link_mbps = 1000\n";
+      << "\n\n[resources]\ncpu_share = 1\ncores = 1\nmemory_mb = "
+      << options_.memory_mb << "\nlink_mbps = 1000\n";
 }
 
 EntryProcess::~EntryProcess() { Kill(); }
@@ -58,7 +59,10 @@
   std::string command = "dispatch";
   std::array<char*, 4> arguments = {binary.data(), command.data(),
                                     settings.data(), nullptr};
-  std::array<char*, 1> environment = {nullptr};
+  std::vector<std::string> texts = options_.environment;
+  std::vector<char*> environment;
+  for (std::string& it : texts) environment.push_back(it.data());
+  environment.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
--- a/tools/soak/entry_process.h
+++ b/tools/soak/entry_process.h
@@ -4,6 +4,7 @@
 
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "record.h"
 
@@ -14,6 +15,9 @@
   std::string directory;
   std::string store_address;
   std::string machines_address;
+  int memory_mb = 512;
+  /// "NAME=VALUE".
+  std::vector<std::string> environment = {};
 };
 
 /// An entry: a process of the product that can be ended, held and started
@@ -26,6 +30,8 @@
   EntryProcess& operator=(const EntryProcess&) = delete;
 
   const std::string& callers() const { return callers_; }
+  /// 0 while it is not running.
+  pid_t pid() const { return pid_; }
   /// Held by whoever ends or holds the process.
   std::mutex& mutex() { return mutex_; }
   void Launch();
@@ -34,10 +40,10 @@
   void Terminate();
   void Signal(int signal);
   bool IsReady() const;
-
- private:
+  /// Whether the process ends within the time.
   bool AwaitEnd(int timeout_ms);
 
+ private:
   const int index_;
   const EntryOptions options_;
   Record& record_;
