Bound the memory of open requests and keep callers served in a crowd

RESTinio kept about 50 bytes for each chunk of a body, whatever its size, and nothing bounded what the 1,024 connections of a listener held together.

HttpListener reads requests with http_parser on Asio. A MemoryBudget, which listeners may share, counts what each connection has allocated and drops incomplete requests, the largest first; complete requests are never dropped. At the limit on connections an idle one or the oldest incomplete request gives way, if the options ask for it; the router does not. Accepting pauses for 100 ms when no descriptor is left.

--- a/libs/http/include/pomelomill/http/http_listener.h
+++ b/libs/http/include/pomelomill/http/http_listener.h
@@ -11,6 +11,7 @@
 #include "pomelomill/base/result.h"
 #include "pomelomill/base/time.h"
 #include "pomelomill/http/http_message.h"
+#include "pomelomill/http/memory_budget.h"
 
 namespace asio {
 class io_context;
@@ -46,6 +47,9 @@
   /// 0 takes any free port.
   std::uint16_t port = 0;
   std::size_t max_connections = 1024;
+  /// At the limit, a new connection displaces an idle one, or else the oldest
+  /// incomplete request; otherwise it is closed itself.
+  bool displaces_connections = false;
   /// Target, names and values together; 431 beyond.
   std::size_t max_header_bytes = std::size_t{16} << 10;
   /// The connection is closed beyond.
@@ -56,6 +60,9 @@
   Duration write_timeout = std::chrono::seconds(10);
   /// Requests of one connection that are read before the first is answered.
   std::size_t max_pipelined = 8;
+  /// Bounds what the connections hold; may be shared by listeners of one
+  /// thread. Empty for no bound.
+  std::shared_ptr<MemoryBudget> memory_budget = {};
 };
 
 /// Sends the response; call once. Nothing happens when the connection is gone.
@@ -65,9 +72,13 @@
   std::function<void(IncomingRequest, RespondHook)> on_request;
   /// The caller has gone; responses to its requests have no reader.
   std::function<void(std::uint64_t connection)> on_closed;
+  /// A connection gave way: an incomplete request of `bytes` was dropped to
+  /// free "memory", or a connection was closed for a new one ("connections").
+  std::function<void(std::string_view reason, std::size_t bytes)> on_dropped =
+      {};
 };
 
-/// HTTP/1.1 server (RESTinio) on one Asio context; use from its thread.
+/// HTTP/1.1 server on one Asio context with http_parser; use from its thread.
 /// Responses of one connection are sent in the order of its requests,
 /// whatever order they are given in. A connection with malformed input, an
 /// oversize field or body, or a slow sender is closed.
--- a/libs/http/src/http_listener.cc
+++ b/libs/http/src/http_listener.cc
@@ -1,23 +1,39 @@
 #include "pomelomill/http/http_listener.h"
 
-#include <algorithm>
+#include <array>
 #include <asio/io_context.hpp>
-#include <exception>
-#include <optional>
-#include <restinio/all.hpp>
-#include <unordered_set>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <limits>
+#include <system_error>
+#include <unordered_map>
 #include <utility>
 
+#include "listener_connection.h"
 #include "pomelomill/http/http_error.h"
 
 namespace pomelomill {
 namespace {
 
-// RESTinio closes a connection whose handler takes longer than this. The
-// router bounds each request by its deadline, so this never comes first.
-constexpr auto kLongestHandling = std::chrono::hours(24);
-constexpr std::size_t kMaxHeaderFields = 100;
-constexpr std::size_t kMaxHeaderName = 256;
+using asio::ip::tcp;
+using Clock = ListenerConnection::Clock;
+
+constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
+/// How late deadlines of connections are noticed; they are of seconds.
+constexpr auto kDeadlineCheckInterval = std::chrono::milliseconds(100);
+/// Descriptors are usually short for a moment only, and an accept that fails at
+/// once would keep the event loop busy.
+constexpr auto kAcceptPause = std::chrono::milliseconds(100);
+
+std::shared_ptr<const HttpListenerOptions> WithBudget(
+    HttpListenerOptions options) {
+  if (options.memory_budget == nullptr) {
+    options.memory_budget =
+        std::make_shared<MemoryBudget>(std::numeric_limits<std::size_t>::max());
+  }
+  return std::make_shared<const HttpListenerOptions>(std::move(options));
+}
 
 }  // namespace
 
@@ -28,197 +44,162 @@
   return {};
 }
 
-class HttpListener::Impl : public std::enable_shared_from_this<Impl> {
+class HttpListener::Impl : public ConnectionOwner,
+                           public std::enable_shared_from_this<Impl> {
  public:
-  /// Tells the owner about closed connections.
-  struct StateListener {
-    std::weak_ptr<Impl> owner;
-
-    void state_changed(
-        const restinio::connection_state::notice_t& notice) noexcept {
-      if (const auto it = owner.lock()) it->OnConnection(notice);
-    }
-  };
-
-  /// Bounds the number of connections. RESTinio's own limiter is not used: its
-  /// connections keep a plain pointer to the acceptor and may outlive it.
-  struct ConnectionLimit {
-    std::weak_ptr<Impl> owner;
-
-    restinio::ip_blocker::inspection_result_t inspect(
-        const restinio::ip_blocker::incoming_info_t& /*info*/) noexcept {
-      const auto it = owner.lock();
-      return it && it->connections_.size() < it->options_.max_connections
-                 ? restinio::ip_blocker::allow()
-                 : restinio::ip_blocker::deny();
-    }
-  };
-
-  struct Traits : restinio::default_single_thread_traits_t {
-    using connection_state_listener_t = StateListener;
-    using ip_blocker_t = ConnectionLimit;
-  };
-  using Server = restinio::http_server_t<Traits>;
-
   Impl(asio::io_context& context, HttpListenerOptions options,
        HttpListenerHooks hooks)
       : context_(context),
-        options_(std::move(options)),
-        hooks_(std::move(hooks)) {}
+        options_(WithBudget(std::move(options))),
+        hooks_(std::make_shared<const HttpListenerHooks>(std::move(hooks))),
+        acceptor_(context),
+        accept_timer_(context),
+        deadline_timer_(context) {}
 
   Status Start() {
-    try {
-      server_.emplace(restinio::external_io_context(context_),
-                      [this](auto& settings) { Configure(settings); });
-      server_->open_sync();
-    } catch (const std::exception&) {
-      server_.reset();
+    std::error_code ec;
+    const auto address = asio::ip::make_address(
+        options_->address == "localhost" ? "127.0.0.1" : options_->address, ec);
+    if (ec) return Unexpected(HttpError::kListenFailed);
+    const tcp::endpoint endpoint(address, options_->port);
+    acceptor_.open(endpoint.protocol(), ec);
+    if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec) acceptor_.bind(endpoint, ec);
+    if (!ec) acceptor_.listen(tcp::acceptor::max_listen_connections, ec);
+    if (!ec) port_ = acceptor_.local_endpoint(ec).port();
+    if (ec) {
+      StopAccepting();
       return Unexpected(HttpError::kListenFailed);
     }
+    Accept();
     return {};
   }
 
   void StopAccepting() {
-    if (!server_) return;
-    server_->close_sync();
+    std::error_code ec;
+    acceptor_.close(ec);
+    accept_timer_.cancel();
   }
 
-  /// Afterwards no hook is called.
+  /// Afterwards no hook is called. Connections with pending responses go on
+  /// without the listener.
   void Detach() {
-    hooks_ = {};
+    hooks_ = std::make_shared<const HttpListenerHooks>();
     StopAccepting();
+    deadline_timer_.cancel();
+    const auto connections = std::exchange(connections_, {});
+    for (const auto& it : connections) it.second->StopReading();
   }
 
   std::uint16_t port() const { return port_; }
   std::size_t open_connections() const { return connections_.size(); }
 
+  std::span<char> read_buffer() override { return read_buffer_; }
+
+  bool OnRequest(IncomingRequest request, RespondHook respond) override {
+    // The handler may destroy the listener.
+    const auto hooks = hooks_;
+    if (!hooks->on_request) return false;
+    hooks->on_request(std::move(request), std::move(respond));
+    return true;
+  }
+
+  void OnClosed(std::uint64_t connection) override {
+    if (connections_.erase(connection) == 0) return;
+    // A connection may be closed in the middle of a call from the handler.
+    asio::post(context_, [weak = weak_from_this(), connection] {
+      const auto self = weak.lock();
+      if (self == nullptr) return;
+      const auto hooks = self->hooks_;
+      if (hooks->on_closed) hooks->on_closed(connection);
+    });
+  }
+
+  void OnDropped(std::string_view reason, std::size_t bytes) override {
+    const auto hooks = hooks_;
+    if (hooks->on_dropped) hooks->on_dropped(reason, bytes);
+  }
+
  private:
-  template <typename Settings>
-  void Configure(Settings& settings) {
-    auto listener = std::make_shared<StateListener>();
-    listener->owner = weak_from_this();
-    auto limit = std::make_shared<ConnectionLimit>();
-    limit->owner = weak_from_this();
-    settings.address(options_.address)
-        .port(options_.port)
-        .ip_blocker(std::move(limit))
-        .max_pipelined_requests(options_.max_pipelined)
-        .read_next_http_message_timelimit(options_.message_timeout)
-        .write_http_response_timelimit(options_.write_timeout)
-        .handle_request_timeout(kLongestHandling)
-        .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}
-                .max_url_size(options_.max_header_bytes)
-                .max_field_name_size(kMaxHeaderName)
-                .max_field_value_size(options_.max_header_bytes)
-                .max_field_count(kMaxHeaderFields)
-                .max_body_size(options_.max_body_bytes))
-        .connection_state_listener(std::move(listener))
-        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
-          port_ = acceptor.local_endpoint().port();
-        })
-        .socket_options_setter([](auto& options) {
-          options.set_option(asio::ip::tcp::no_delay(true));
-        })
-        .request_handler([owner = weak_from_this()](
-                             const restinio::request_handle_t& request) {
-          const auto self = owner.lock();
-          return self ? self->OnRequest(request) : restinio::request_rejected();
+  void Accept() {
+    acceptor_.async_accept(
+        [weak = weak_from_this()](std::error_code ec, tcp::socket socket) {
+          const auto self = weak.lock();
+          if (self == nullptr || !self->acceptor_.is_open()) return;
+          if (ec && ec != asio::error::connection_aborted)
+            return self->PauseAccepting();
+          if (!ec) self->Open(std::move(socket));
+          if (self->acceptor_.is_open()) self->Accept();
         });
   }
 
-  void OnConnection(
-      const restinio::connection_state::notice_t& notice) noexcept {
-    const std::uint64_t id = notice.connection_id();
-    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
-            notice.cause())) {
-      connections_.insert(id);
-      return;
-    }
-    if (connections_.erase(id) == 0) return;
-    if (hooks_.on_closed) hooks_.on_closed(id);
+  /// No descriptors or memory are left.
+  void PauseAccepting() {
+    Displace();
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
+      const auto self = weak.lock();
+      if (!ec && self != nullptr && self->acceptor_.is_open()) self->Accept();
+    });
   }
 
-  restinio::request_handling_status_t OnRequest(
-      const restinio::request_handle_t& handle) {
-    const auto& header = handle->header();
-    if (!hooks_.on_request ||
-        header.connection() == restinio::http_connection_header_t::upgrade) {
-      return restinio::request_rejected();
-    }
-    IncomingRequest request;
-    request.connection = handle->connection_id();
-    request.method = header.method().c_str();
-    request.target = header.request_target();
-    std::size_t bytes = request.target.size();
-    header.for_each_field([&](const restinio::http_header_field_t& it) {
-      request.headers.push_back({it.name(), it.value()});
-      bytes += it.name().size() + it.value().size();
-    });
-    const bool keeps_alive = header.should_keep_alive();
-    if (bytes > options_.max_header_bytes) {
-      OutgoingResponse response;
-      response.status = 431;
-      response.closes_connection = true;
-      Write(handle, std::move(response), false);
-      return restinio::request_accepted();
-    }
-    request.body = handle->body();
-    hooks_.on_request(std::move(request),
-                      [handle, keeps_alive](OutgoingResponse response) {
-                        Write(handle, std::move(response), keeps_alive);
-                      });
-    return restinio::request_accepted();
+  void Open(tcp::socket socket) {
+    if (connections_.size() >= options_->max_connections && !Displace()) return;
+    std::error_code ec;
+    socket.non_blocking(true, ec);
+    if (!ec) socket.set_option(tcp::no_delay(true), ec);
+    if (ec) return;
+    const std::uint64_t id = ++last_id_;
+    const auto connection = std::make_shared<ListenerConnection>(
+        std::move(socket), id, options_, weak_from_this());
+    if (!connection->Start()) return;
+    connections_.emplace(id, connection);
+    if (connections_.size() == 1) CheckDeadlinesLater();
   }
 
-  static void Write(const restinio::request_handle_t& handle,
-                    OutgoingResponse response, bool keeps_alive) {
-    auto builder = handle->create_response(
-        {restinio::http_status_code_t(
-             static_cast<std::uint16_t>(response.status)),
-         Reason(response.status)});
-    for (HttpHeader& it : response.headers) {
-      builder.append_header(std::move(it.name), std::move(it.value));
-    }
-    if (response.closes_connection || !keeps_alive) {
-      builder.connection_close();
-    } else {
-      builder.connection_keep_alive();
+  /// Closes the connection that gives way first; returns false when all have
+  /// complete requests or responses.
+  bool Displace() {
+    if (!options_->displaces_connections) return false;
+    std::shared_ptr<ListenerConnection> chosen;
+    for (const auto& it : connections_) {
+      const auto rank = it.second->DisplacementRank();
+      if (rank && (chosen == nullptr || *rank < *chosen->DisplacementRank()))
+        chosen = it.second;
     }
-    builder.set_body(std::move(response.body));
-    builder.done();
+    if (chosen == nullptr) return false;
+    const std::size_t bytes = chosen->memory();
+    chosen->Close();
+    OnDropped("connections", bytes);
+    return true;
   }
 
-  static const char* Reason(int status) {
-    switch (status) {
-      case 200:
-        return "OK";
-      case 400:
-        return "Bad Request";
-      case 404:
-        return "Not Found";
-      case 405:
-        return "Method Not Allowed";
-      case 409:
-        return "Conflict";
-      case 429:
-        return "Too Many Requests";
-      case 431:
-        return "Request Header Fields Too Large";
-      case 503:
-        return "Service Unavailable";
-      case 504:
-        return "Gateway Timeout";
-      default:
-        return "Status";
-    }
+  void CheckDeadlinesLater() {
+    deadline_timer_.expires_after(kDeadlineCheckInterval);
+    deadline_timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
+      const auto self = weak.lock();
+      if (!ec && self != nullptr) self->CheckDeadlines();
+    });
+  }
+
+  void CheckDeadlines() {
+    const auto now = Clock::now();
+    // Connections are removed as they close.
+    const auto connections = connections_;
+    for (const auto& it : connections) it.second->CheckDeadlines(now);
+    if (!connections_.empty()) CheckDeadlinesLater();
   }
 
   asio::io_context& context_;
-  HttpListenerOptions options_;
-  HttpListenerHooks hooks_;
-  std::optional<Server> server_;
-  std::unordered_set<std::uint64_t> connections_;
+  const std::shared_ptr<const HttpListenerOptions> options_;
+  std::shared_ptr<const HttpListenerHooks> hooks_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  asio::steady_timer deadline_timer_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<ListenerConnection>>
+      connections_;
+  std::array<char, kReadBufferBytes> read_buffer_{};
+  std::uint64_t last_id_ = 0;
   std::uint16_t port_ = 0;
 };
 
