Set the memory and the connections of open requests

Operators of entries with little memory need a bound that follows the memory of the VM, and must see when it is reached.

Section [requests] of the settings of an entry has memory_mb (a quarter of [resources] memory_mb unless set, at least 8 and at most half) and connections (1,024). The four listeners of an entry share one budget; the listener for peers takes 512 connections and those for readiness and metrics 128 each. New metrics pomelomill_request_memory_bytes and pomelomill_requests_dropped_total, and an event request-dropped with at most one line a second.

--- a/libs/config/include/pomelomill/config/job_service_settings.h
+++ b/libs/config/include/pomelomill/config/job_service_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -21,6 +22,17 @@
   bool operator==(const EntryCapacity&) const = default;
 };
 
+/// Bounds on the requests that are open at one time.
+struct RequestSettings {
+  /// Memory of the requests and responses of all connections together; 0 for a
+  /// quarter of EntryCapacity::memory_mb, at least 8.
+  std::uint32_t memory_mb = 0;
+  /// Connections of callers.
+  std::uint32_t connections = 1024;
+
+  bool operator==(const RequestSettings&) const = default;
+};
+
 /// Settings of one entry of the job service (`pomelomill dispatch`). Addresses
 /// are "HOST:PORT".
 struct JobServiceSettings {
@@ -39,6 +51,7 @@
   LogLevel log_level = LogLevel::kInfo;
   /// Pools go to the entries that can carry them.
   EntryCapacity capacity;
+  RequestSettings requests;
 
   /// Time to live of the entry's lease in the store. An owner that is lost is
   /// replaced after this time.
@@ -53,6 +66,9 @@
   /// Time that the platform gives a process to stop.
   Duration stop_grace = std::chrono::seconds(6);
 
+  /// The bound on open requests in MB, also when it is not set.
+  std::uint32_t request_memory_mb() const;
+
   bool operator==(const JobServiceSettings&) const = default;
 };
 
--- a/libs/config/src/job_service_settings.cc
+++ b/libs/config/src/job_service_settings.cc
@@ -14,6 +14,11 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+/// Below this, a few bodies at the limit would fill the budget.
+constexpr std::uint32_t kMinRequestMemoryMb = 8;
+/// The rest is for jobs, the view of the store and the program itself.
+constexpr double kRequestMemoryShare = 0.25;
+
 void ReadLease(SectionReader& reader, JobServiceSettings& settings) {
   reader.Read("entry", settings.entry_lease, seconds(1), minutes(10));
   reader.Read("margin", settings.lease_margin, milliseconds(1), minutes(1));
@@ -34,6 +39,11 @@
   capacity.cpu_cores = share * cores;
 }
 
+void ReadRequests(SectionReader& reader, RequestSettings& requests) {
+  reader.Read("memory_mb", requests.memory_mb, kMinRequestMemoryMb, 1'000'000);
+  reader.Read("connections", requests.connections, 16, 100'000);
+}
+
 void ReadSection(SectionReader& reader, JobServiceSettings& settings) {
   const std::string& kind = reader.section().kind;
   if (!reader.section().name.empty()) reader.Report("", "takes no name");
@@ -62,6 +72,8 @@
     reader.ReadLogLevel("level", settings.log_level);
   } else if (kind == "resources") {
     ReadResources(reader, settings.capacity);
+  } else if (kind == "requests") {
+    ReadRequests(reader, settings.requests);
   } else if (kind == "lease") {
     ReadLease(reader, settings);
   } else {
@@ -73,6 +85,13 @@
 
 }  // namespace
 
+std::uint32_t JobServiceSettings::request_memory_mb() const {
+  if (requests.memory_mb != 0) return requests.memory_mb;
+  return std::max(
+      kMinRequestMemoryMb,
+      static_cast<std::uint32_t>(capacity.memory_mb * kRequestMemoryShare));
+}
+
 tl::expected<JobServiceSettings, std::vector<Diagnostic>>
 ParseJobServiceSettings(std::string_view text, const std::string& file) {
   std::vector<Diagnostic> errors;
@@ -93,6 +112,14 @@
           {file, 0, '[' + std::string(kind) + ']', "the section is required"});
     }
   }
+  for (const IniSection& it : sections) {
+    if (it.kind == "requests" &&
+        settings.requests.memory_mb > settings.capacity.memory_mb / 2) {
+      errors.push_back({file, it.line, it.title(),
+                        "memory_mb must be at most half of the memory_mb of "
+                        "[resources]"});
+    }
+  }
   if (errors.empty()) return settings;
   std::stable_sort(
       errors.begin(), errors.end(),
--- a/libs/config/test/job_service_settings_test.cc
+++ b/libs/config/test/job_service_settings_test.cc
@@ -48,6 +48,10 @@
            {"[resources]\nmemory_mb = -1\n", 11},
            {"[resources]\nlink_mbps = 0\n", 11},
            {"[resources]\nlink = 10\n", 11},
+           {"[requests]\nmemory_mb = 7\n", 11},
+           {"[requests]\nmemory_mb = 257\n", 10},
+           {"[requests]\nconnections = 15\n", 11},
+           {"[requests]\nbodies = 1\n", 11},
            {"[entry]\nid = twice\n", 10}}) {
     const std::string& text = row.first;
     const int line = row.second;
@@ -61,6 +65,21 @@
   CHECK(empty.error().size() == 3);
 }
 
+// Guards against a budget that leaves no memory to the rest of a small process,
+// or no room for bodies at the limit.
+TEST_CASE("the memory of open requests follows the memory of the process") {
+  const auto memory = [](const std::string& text) {
+    const auto settings = ParseJobServiceSettings(kLeast + text, "f");
+    REQUIRE(settings);
+    return settings->request_memory_mb();
+  };
+  CHECK(memory("") == 128);
+  CHECK(memory("[resources]\nmemory_mb = 160\n") == 40);
+  CHECK(memory("[resources]\nmemory_mb = 16\n") == 8);
+  CHECK(memory("[resources]\nmemory_mb = 160\n[requests]\nmemory_mb = 64\n"
+               "connections = 300\n") == 64);
+}
+
 TEST_CASE("the template of the deploy file gives valid settings") {
   // The platform fills the placeholders; a wrong key would stop every entry.
   std::string text = ReadSource("deploy/settings.ini.in");
--- a/libs/jobserver/src/job_metrics.cc
+++ b/libs/jobserver/src/job_metrics.cc
@@ -91,6 +91,21 @@
       .Set(static_cast<double>(pools));
 }
 
+void JobMetrics::SetRequestMemory(std::size_t bytes) {
+  registry_
+      .gauge("pomelomill_request_memory_bytes",
+             "Memory held by open requests and unread responses.")
+      .Set(static_cast<double>(bytes));
+}
+
+void JobMetrics::CountDroppedRequest(std::string_view reason) {
+  registry_
+      .counter("pomelomill_requests_dropped_total",
+               "Connections that gave way to others.",
+               {{"reason", std::string(reason)}})
+      .Add();
+}
+
 std::string JobMetrics::Text() const { return registry_.Text(); }
 
 TransactionClient InstrumentStoreClient(TransactionClient inner,
--- a/libs/jobserver/src/job_metrics.h
+++ b/libs/jobserver/src/job_metrics.h
@@ -29,6 +29,10 @@
   void ObserveLoopDelay(Duration delay);
   void ObserveDecision(std::string_view decision, Duration took);
   void SetOwnedPools(std::size_t pools);
+  /// Memory that open requests and unread responses hold.
+  void SetRequestMemory(std::size_t bytes);
+  /// Counts a connection that gave way to others.
+  void CountDroppedRequest(std::string_view reason);
 
   /// All metrics in Prometheus text exposition format, version 0.0.4.
   std::string Text() const;
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -36,6 +36,14 @@
 /// Callers send requests on open connections until these are closed; the server
 /// counts as idle after this long without a request.
 constexpr Duration kIdleBeforeStop = std::chrono::milliseconds(1500);
+/// Each other entry keeps a few connections to the peer listener; the load
+/// balancer and the collector of metrics need few.
+constexpr std::size_t kMaxPeerConnections = 512;
+constexpr std::size_t kMaxOperationsConnections = 128;
+constexpr std::size_t kBytesOfMb = std::size_t{1} << 20;
+/// At most one line in this time: clients that crowd an entry must not fill the
+/// log.
+constexpr Duration kDroppedRequestLogInterval = std::chrono::seconds(1);
 
 std::string Host(const std::string& address) {
   return address.substr(0, address.rfind(':'));
@@ -60,6 +68,8 @@
         settings_(std::move(settings)),
         incarnation_(std::move(incarnation)),
         hooks_(std::move(hooks)),
+        request_memory_(std::make_shared<MemoryBudget>(
+            settings_.request_memory_mb() * kBytesOfMb)),
         acceptor_(
             platform_.store, timers_,
             {.on_store_availability =
@@ -101,23 +111,29 @@
                  }}) {}
 
   Status Start() {
-    caller_listener_ = MakeListener(
-        settings_.caller_address, [this](auto request, auto respond) {
-          OnCallerRequest(std::move(request), std::move(respond));
-        });
+    caller_listener_ =
+        MakeListener(settings_.caller_address, settings_.requests.connections,
+                     [this](auto request, auto respond) {
+                       OnCallerRequest(std::move(request), std::move(respond));
+                     });
     ready_listener_ =
-        MakeListener(settings_.ready_address, [this](auto, auto respond) {
-          respond({.status = IsReady() ? 200 : 503});
+        MakeListener(settings_.ready_address, kMaxOperationsConnections,
+                     [this](auto, auto respond) {
+                       respond({.status = IsReady() ? 200 : 503});
+                     });
+    peer_listener_ = MakeListener(
+        settings_.peer_address, kMaxPeerConnections,
+        [this](auto request, auto respond) {
+          PeerResponse answer =
+              AnswerPeerQuery(MakeLocalPools(), request.target);
+          respond({.status = answer.status, .body = std::move(answer.body)});
         });
-    peer_listener_ = MakeListener(settings_.peer_address, [this](auto request,
-                                                                 auto respond) {
-      PeerResponse answer = AnswerPeerQuery(MakeLocalPools(), request.target);
-      respond({.status = answer.status, .body = std::move(answer.body)});
-    });
     if (!settings_.metrics_address.empty()) {
-      metrics_listener_ =
-          MakeListener(settings_.metrics_address, [this](auto, auto respond) {
+      metrics_listener_ = MakeListener(
+          settings_.metrics_address, kMaxOperationsConnections,
+          [this](auto, auto respond) {
             metrics_.SetOwnedPools(coordinator_.owned_pools());
+            metrics_.SetRequestMemory(request_memory_->held());
             respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                      .body = metrics_.Text()});
           });
@@ -176,14 +192,38 @@
 
   template <typename Handler>
   std::unique_ptr<HttpListener> MakeListener(const std::string& address,
+                                             std::size_t max_connections,
                                              Handler handler) {
     HttpListenerOptions options;
     options.address = Host(address);
     options.port = Port(address);
+    options.max_connections = max_connections;
+    options.displaces_connections = true;
     options.max_body_bytes = kMaxRequestBodyBytes;
+    options.memory_budget = request_memory_;
     options.message_timeout = std::chrono::seconds(15);
     return std::make_unique<HttpListener>(
-        context_, options, HttpListenerHooks{.on_request = handler});
+        context_, options,
+        HttpListenerHooks{
+            .on_request = handler,
+            .on_dropped = [this](std::string_view reason, std::size_t bytes) {
+              OnRequestDropped(reason, bytes);
+            }});
+  }
+
+  void OnRequestDropped(std::string_view reason, std::size_t bytes) {
+    metrics_.CountDroppedRequest(reason);
+    ++dropped_since_log_;
+    const Instant now = timers_.Now();
+    if (last_dropped_log_ &&
+        now - *last_dropped_log_ < kDroppedRequestLogInterval)
+      return;
+    last_dropped_log_ = now;
+    Event("front", "request-dropped",
+          {{"reason", std::string(reason)},
+           {"bytes", std::to_string(bytes)},
+           {"dropped", std::to_string(std::exchange(dropped_since_log_, 0))},
+           {"held", std::to_string(request_memory_->held())}});
   }
 
   LocalPools MakeLocalPools() {
@@ -392,6 +432,7 @@
   const JobServiceSettings settings_;
   const IncarnationId incarnation_;
   JobServerHooks hooks_;
+  const std::shared_ptr<MemoryBudget> request_memory_;
   JobAcceptor acceptor_;
   Coordinator coordinator_;
   JobLookup lookup_;
@@ -403,6 +444,9 @@
   std::size_t open_requests_ = 0;
   Instant last_request_at_{};
   Instant stop_deadline_{};
+  /// Dropped requests since the last line of the log about them.
+  std::size_t dropped_since_log_ = 0;
+  std::optional<Instant> last_dropped_log_;
   bool is_stopping_ = false;
   bool is_halted_ = false;
 };
