--- a/libs/jobserver/src/job_metrics.cc
+++ b/libs/jobserver/src/job_metrics.cc
@@ -141,6 +141,21 @@
       .Set(ToSeconds(drain_time));
 }
 
+void JobMetrics::SetRequestMemory(std::size_t bytes) {
+  registry_
+      .gauge("pomelomill_request_memory_bytes",
+             "Memory held by open requests and unread responses.")
+      .Set(static_cast<double>(bytes));
+}
+
+void JobMetrics::CountDroppedRequest(std::string_view reason) {
+  registry_
+      .counter("pomelomill_requests_dropped_total",
+               "Connections that gave way to others.",
+               {{"reason", std::string(reason)}})
+      .Add();
+}
+
 std::string JobMetrics::Text() const { return registry_.Text(); }
 
 TransactionClient InstrumentStoreClient(TransactionClient inner,
--- a/libs/jobserver/src/job_metrics.h
+++ b/libs/jobserver/src/job_metrics.h
@@ -39,6 +39,10 @@
                         Duration retry_after);
   /// Sets the drain time of the backlog of a pool as this entry knows it.
   void SetBacklog(const std::string& pool, Duration drain_time);
+  /// Memory that open requests and unread responses hold.
+  void SetRequestMemory(std::size_t bytes);
+  /// Counts a connection that gave way to others.
+  void CountDroppedRequest(std::string_view reason);
 
   /// All metrics in Prometheus text exposition format, version 0.0.4.
   std::string Text() const;
