Count handled requests after a close, and keep operations listeners apart

Handled requests count until their handlers are done, the listeners for peers, readiness and metrics have a budget of 8 MB, requests that have stalled are dropped first, nothing is read behind a request or response that ends the connection, and responses to what was read are sent before the close.

--- a/libs/http/include/pomelomill/http/memory_budget.h
+++ b/libs/http/include/pomelomill/http/memory_budget.h
@@ -30,8 +30,9 @@
 
     /// States the memory of a request that is not complete. Returns false, with
     /// the former amount, when it does not fit although the incomplete requests
-    /// of all other connections were dropped, the largest first. Among equal
-    /// ones, the first to begin is the first to be dropped.
+    /// of all other connections were dropped: first those that have not grown
+    /// for a while, each time the largest, and among equal ones the first to
+    /// begin.
     bool SetIncomplete(std::size_t bytes);
     /// States the memory of complete requests and of responses; as above.
     bool SetKept(std::size_t bytes);
@@ -46,8 +47,10 @@
     const std::function<void()> drop_;
     std::size_t incomplete_ = 0;
     std::size_t kept_ = 0;
-    /// Orders the incomplete requests by their beginning.
+    /// Numbers of the growths by which the incomplete request began and grew
+    /// last.
     std::uint64_t began_ = 0;
+    std::uint64_t grew_ = 0;
   };
 
   std::size_t limit() const { return limit_; }
@@ -58,12 +61,16 @@
     bool operator()(const Account* a, const Account* b) const;
   };
 
+  /// Returns the account whose incomplete request is dropped next; null when
+  /// no account but this one has any.
+  Account* FindNextToDrop(const Account& account) const;
   /// Drops incomplete requests until `bytes` more fit.
   bool MakeRoom(const Account& account, std::size_t bytes);
 
   const std::size_t limit_;
   std::size_t held_ = 0;
-  std::uint64_t last_began_ = 0;
+  /// Counts the growths of incomplete requests.
+  std::uint64_t growths_ = 0;
   /// Accounts with an incomplete request.
   std::set<Account*, DropsBefore> incomplete_;
 };
--- a/libs/http/src/http_listener.cc
+++ b/libs/http/src/http_listener.cc
@@ -9,6 +9,7 @@
 #include <system_error>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "listener_connection.h"
 #include "pomelomill/http/http_error.h"
@@ -185,8 +186,10 @@
   void CheckDeadlines() {
     const auto now = Clock::now();
     // Connections are removed as they close.
-    const auto connections = connections_;
-    for (const auto& it : connections) it.second->CheckDeadlines(now);
+    std::vector<std::shared_ptr<ListenerConnection>> overdue;
+    for (const auto& it : connections_)
+      if (it.second->IsOverdue(now)) overdue.push_back(it.second);
+    for (const auto& it : overdue) it->CheckDeadlines(now);
     if (!connections_.empty()) CheckDeadlinesLater();
   }
 
--- a/libs/http/src/listener_connection.cc
+++ b/libs/http/src/listener_connection.cc
@@ -27,6 +27,9 @@
 /// Assignment of an empty string would keep the capacity.
 void Free(std::string& text) { std::string().swap(text); }
 
+/// An ordinary request is complete within a fraction of this time.
+constexpr auto kStallTime = std::chrono::seconds(1);
+
 constexpr auto kNever = ListenerConnection::Clock::time_point::max();
 
 }  // namespace
@@ -86,10 +89,14 @@
   socket_.close(ec);
   reader_.Reset();
   Free(unparsed_);
-  slots_ = std::vector<Slot>();
   read_deadline_ = write_deadline_ = kNever;
   account_.SetIncomplete(0);
-  account_.SetKept(0);
+  // The handlers still hold their requests; without this, a client could have
+  // any number of them handled by closing its connections.
+  std::erase_if(slots_, [](const Slot& it) { return it.is_answered; });
+  std::size_t handled = 0;
+  for (const Slot& it : slots_) handled += it.request_memory;
+  account_.SetKept(handled);
   if (const auto owner = owner_.lock()) owner->OnClosed(id_);
 }
 
@@ -103,7 +110,10 @@
   if (is_closed_ || !slots_.empty()) return std::nullopt;
   // Connections that were opened and never used give way first.
   const bool is_used = last_sequence_ != 0;
-  return std::pair(reader_.has_begun() ? 2 : (is_used ? 1 : 0), waiting_since_);
+  const bool is_stalled =
+      reader_.has_begun() && Clock::now() - waiting_since_ > kStallTime;
+  const int rank = is_stalled ? 1 : reader_.has_begun() ? 3 : is_used ? 2 : 0;
+  return std::pair(rank, waiting_since_);
 }
 
 void ListenerConnection::UpdateReadDeadline() {
@@ -197,6 +207,8 @@
   slots_.push_back({.sequence = sequence,
                     .request_memory = memory,
                     .keeps_connection = reader_.keeps_connection()});
+  // The peer expects no response to what it sends after such a request.
+  has_stopped_reading_ |= !reader_.keeps_connection();
   IncomingRequest request = reader_.Take();
   request.connection = id_;
   account_.SetIncomplete(0);
@@ -224,11 +236,19 @@
   const auto slot =
       std::find_if(slots_.begin(), slots_.end(),
                    [&](const Slot& it) { return it.sequence == sequence; });
-  if (is_closed_ || slot == slots_.end() || slot->is_answered) return;
+  if (slot == slots_.end() || slot->is_answered) return;
+  if (is_closed_) {
+    account_.SetKept(account_.kept() -
+                     std::min(account_.kept(), slot->request_memory));
+    slots_.erase(slot);
+    return;
+  }
   slot->is_answered = true;
   slot->request_memory = 0;
   slot->closes_connection =
       response.closes_connection || !slot->keeps_connection;
+  // Further requests would be handled without an answer.
+  if (slot->closes_connection) StopReading();
   slot->response = EncodeResponse(response, !slot->closes_connection);
   Flush();
   UpdateKept();
@@ -267,9 +287,9 @@
 
 void ListenerConnection::FinishFront() {
   Free(writing_);
-  const bool closes = slots_.front().closes_connection;
   slots_.erase(slots_.begin());
-  if (closes || (has_stopped_reading_ && slots_.empty())) Close();
+  // Requests that were read before the last one get their responses first.
+  if (has_stopped_reading_ && slots_.empty()) Close();
 }
 
 void ListenerConnection::Resume() {
--- a/libs/http/src/listener_connection.h
+++ b/libs/http/src/listener_connection.h
@@ -49,12 +49,16 @@
   /// Reads no further request and closes once all responses are sent.
   void StopReading();
   void Close();
-  /// Ends what has taken too long.
+  /// Whether something has taken too long, which CheckDeadlines() ends.
+  bool IsOverdue(Clock::time_point now) const {
+    return now >= write_deadline_ || now >= read_deadline_;
+  }
   void CheckDeadlines(Clock::time_point now);
 
-  /// Order in which connections give way to new ones, the lowest first: idle
-  /// ones before incomplete requests, each the oldest first. None while
-  /// complete requests or responses are pending.
+  /// Order in which connections give way to new ones, the lowest first: those
+  /// never used, incomplete requests that take long, idle ones, other
+  /// incomplete requests, each the oldest first. None while complete requests
+  /// or responses are pending.
   std::optional<std::pair<int, Clock::time_point>> DisplacementRank() const;
   /// Memory that it holds.
   std::size_t memory() const;
--- a/libs/http/src/memory_budget.cc
+++ b/libs/http/src/memory_budget.cc
@@ -3,6 +3,13 @@
 #include <utility>
 
 namespace pomelomill {
+namespace {
+
+/// A request has stalled when others have grown this often since it grew last.
+/// A body of 262,144 bytes grows about 32 times.
+constexpr std::uint64_t kRecentGrowths = 64;
+
+}  // namespace
 
 MemoryBudget::MemoryBudget(std::size_t limit) : limit_(limit) {}
 
@@ -12,12 +19,22 @@
   return a->began_ < b->began_;
 }
 
+MemoryBudget::Account* MemoryBudget::FindNextToDrop(
+    const Account& account) const {
+  Account* largest = nullptr;
+  for (Account* const it : incomplete_) {
+    if (it == &account) continue;
+    if (it->grew_ + kRecentGrowths < growths_) return it;
+    if (largest == nullptr) largest = it;
+  }
+  return largest;
+}
+
 bool MemoryBudget::MakeRoom(const Account& account, std::size_t bytes) {
   while (bytes > limit_ || held_ > limit_ - bytes) {
-    auto it = incomplete_.begin();
-    if (it != incomplete_.end() && *it == &account) ++it;
-    if (it == incomplete_.end()) return false;
-    (*it)->drop_();
+    Account* const it = FindNextToDrop(account);
+    if (it == nullptr) return false;
+    it->drop_();
   }
   return true;
 }
@@ -36,7 +53,10 @@
   if (bytes > incomplete_ && !budget_->MakeRoom(*this, bytes - incomplete_))
     return false;
   if (incomplete_ != 0) budget_->incomplete_.erase(this);
-  if (incomplete_ == 0) began_ = ++budget_->last_began_;
+  if (bytes > incomplete_) {
+    grew_ = ++budget_->growths_;
+    if (incomplete_ == 0) began_ = grew_;
+  }
   budget_->held_ += bytes;
   budget_->held_ -= incomplete_;
   incomplete_ = bytes;
--- a/libs/http/test/http_listener_test.cc
+++ b/libs/http/test/http_listener_test.cc
@@ -319,6 +319,53 @@
 }
 
 // Guards against calls into an owner that has gone.
+TEST_CASE("nothing is handled after a request that ends the connection") {
+  // Guards against jobs that are stored for a caller that gets no response.
+  Fixture f;
+  const auto caller = f.Connect();
+  caller->Write(std::string("GET /hold HTTP/1.1\r\nConnection: close\r\n\r\n") +
+                kGet);
+  REQUIRE(f.RunUntil([&] { return !f.held.empty(); }));
+  f.Run(milliseconds(20));
+  f.held[0]({.body = "last"});
+  CHECK(f.RunUntil([&] { return caller->is_closed(); }));
+  CHECK(caller->has("last"));
+  CHECK(f.requests == std::vector<std::string>{"/hold"});
+}
+
+TEST_CASE("requests that were read get responses before a close") {
+  // Guards against responses that are lost in a planned stop, which closes
+  // connections after the next response.
+  Fixture f;
+  const auto caller = f.Connect();
+  for (const char* it : {"/hold1", "/hold2"})
+    caller->Write(std::string("GET ") + it + " HTTP/1.1\r\n\r\n");
+  REQUIRE(f.RunUntil([&] { return f.held.size() == 2; }));
+  f.held[0]({.body = "first", .closes_connection = true});
+  f.Run(milliseconds(20));
+  f.held[1]({.body = "second"});
+  CHECK(f.RunUntil([&] { return caller->is_closed(); }));
+  CHECK(caller->has("first"));
+  CHECK(caller->has("second"));
+}
+
+TEST_CASE("a request counts until its handler is done with it") {
+  // Guards against a client that has any number of requests handled at a time
+  // by closing its connections.
+  const HttpListenerOptions options = WithMemory(1'024 * kKb);
+  Fixture f(options);
+  auto caller = f.Connect();
+  caller->Write(Head("/hold", 64 * kKb) + std::string(64 * kKb, 'x'));
+  REQUIRE(f.RunUntil([&] { return !f.held.empty(); }));
+  caller.reset();
+  REQUIRE(f.RunUntil([&] { return f.closed == 1; }));
+  CHECK(options.memory_budget->held() >= 3 * 64 * kKb);
+  f.held[0]({});
+  f.held.clear();
+  f.Run(milliseconds(5));
+  CHECK(options.memory_budget->held() == 0);
+}
+
 TEST_CASE("a destroyed listener calls no hook and finishes its responses") {
   Fixture f;
   const auto waiting = f.Connect();
--- a/libs/http/test/memory_budget_test.cc
+++ b/libs/http/test/memory_budget_test.cc
@@ -51,6 +51,17 @@
   CHECK(it.dropped == std::vector<int>{0});
 }
 
+// Guards against a crowd of stalled requests of medium size that has the larger
+// request of an ordinary caller dropped as it arrives.
+TEST_CASE("a request that has stalled is dropped before one that grows") {
+  Accounts it(100, 4);
+  CHECK(it[0].SetIncomplete(10));
+  CHECK(it[1].SetIncomplete(20));
+  for (int i = 1; i <= 70; ++i) CHECK(it[2].SetIncomplete(i));
+  CHECK(it[3].SetIncomplete(20));
+  CHECK(it.dropped == std::vector<int>{1});
+}
+
 // Guards against complete requests that are dropped for new ones: their callers
 // would wait for responses in vain.
 TEST_CASE("what is kept is never dropped") {
--- a/libs/jobserver/src/job_server.cc
+++ b/libs/jobserver/src/job_server.cc
@@ -43,6 +43,10 @@
 /// balancer and the collector of metrics need few.
 constexpr std::size_t kMaxPeerConnections = 512;
 constexpr std::size_t kMaxOperationsConnections = 128;
+/// Calls on the listeners of peers, readiness and metrics have no bodies, and
+/// their responses are of 64 KB at most.
+constexpr std::size_t kMaxOperationsBodyBytes = std::size_t{4} << 10;
+constexpr std::size_t kOperationsMemoryBytes = std::size_t{8} << 20;
 constexpr std::size_t kBytesOfMb = std::size_t{1} << 20;
 /// At most one line in this time: clients that crowd an entry must not fill the
 /// log.
@@ -73,6 +77,8 @@
         hooks_(std::move(hooks)),
         request_memory_(std::make_shared<MemoryBudget>(
             settings_.request_memory_mb() * kBytesOfMb)),
+        operations_memory_(
+            std::make_shared<MemoryBudget>(kOperationsMemoryBytes)),
         acceptor_(
             platform_.store, timers_,
             {.on_store_availability =
@@ -97,6 +103,7 @@
              .on_decision =
                  [this](std::string_view decision, std::size_t items,
                         Duration took) { OnDecision(decision, items, took); },
+             .publishes_backlogs = hooks_.rejects_overload,
              .on_share =
                  [this](const PoolId& pool, const WorkspaceId& workspace,
                         const ResourceAmount& share) {
@@ -204,13 +211,17 @@
   std::unique_ptr<HttpListener> MakeListener(const std::string& address,
                                              std::size_t max_connections,
                                              Handler handler) {
+    const bool is_for_callers = address == settings_.caller_address;
     HttpListenerOptions options;
     options.address = Host(address);
     options.port = Port(address);
     options.max_connections = max_connections;
     options.displaces_connections = true;
-    options.max_body_bytes = kMaxRequestBodyBytes;
-    options.memory_budget = request_memory_;
+    options.max_body_bytes =
+        is_for_callers ? kMaxRequestBodyBytes : kMaxOperationsBodyBytes;
+    // Callers must not keep checks of readiness or calls of peers out.
+    options.memory_budget =
+        is_for_callers ? request_memory_ : operations_memory_;
     options.message_timeout = std::chrono::seconds(15);
     return std::make_unique<HttpListener>(
         context_, options,
@@ -501,6 +512,8 @@
   const IncarnationId incarnation_;
   JobServerHooks hooks_;
   const std::shared_ptr<MemoryBudget> request_memory_;
+  /// Of the listeners of peers, readiness and metrics.
+  const std::shared_ptr<MemoryBudget> operations_memory_;
   JobAcceptor acceptor_;
   Coordinator coordinator_;
   JobLookup lookup_;
