--- a/app/dispatch/dispatch_command.cc
+++ b/app/dispatch/dispatch_command.cc
@@ -64,7 +64,7 @@
 
 }  // namespace
 
-int RunDispatch(const std::string& settings_file) {
+int RunDispatch(const std::string& settings_file, bool rejects_overload) {
   const std::string file = ResolveSettingsPath(settings_file);
   const auto text = ReadFile(file);
   if (!text) {
@@ -95,7 +95,8 @@
                    MakeIncarnationId(settings->entry),
                    {.wall_ms = UnixTimeMs,
                     .event = event,
-                    .on_stopped = [&context] { context.stop(); }});
+                    .on_stopped = [&context] { context.stop(); },
+                    .rejects_overload = rejects_overload});
   if (const Status status = server.Start(); !status) {
     event("server", "failed", {{"error", status.error().message()}});
     return 1;
--- a/app/dispatch/main.cc
+++ b/app/dispatch/main.cc
@@ -13,8 +13,10 @@
                            "Runs one entry of the job service until SIGTERM.");
   options.add_options()("command", "dispatch", cxxopts::value<std::string>())(
       "settings", "INI file; by default that of POMELOMILL_SETTINGS",
-      cxxopts::value<std::string>()->default_value(""))("help",
-                                                        "prints this text");
+      cxxopts::value<std::string>()->default_value(""))(
+      "reject-overload",
+      "rejects jobs that an overloaded pool cannot serve in time to be of use")(
+      "help", "prints this text");
   options.parse_positional({"command", "settings"});
   options.positional_help("dispatch [SETTINGS]");
   try {
@@ -28,7 +30,8 @@
       std::cerr << "usage: pomelomill dispatch [SETTINGS]\n";
       return 2;
     }
-    return pomelomill::RunDispatch(parsed["settings"].as<std::string>());
+    return pomelomill::RunDispatch(parsed["settings"].as<std::string>(),
+                                   parsed.count("reject-overload") != 0);
   } catch (const std::exception& e) {
     std::cerr << "pomelomill: " << e.what() << "\n";
     return 2;
--- a/libs/admission/src/admission_book.cc
+++ b/libs/admission/src/admission_book.cc
@@ -63,7 +63,12 @@
                                                const PoolState& state,
                                                Instant now) {
   Expire(now);
-  if (state.backlog == nullptr || state.backlog->DrainTime() < kMinBacklog) {
+  // A queue whose objective leaves no time to wait has no objective in fact:
+  // its jobs may take as long as the backlog.
+  const bool has_objective = submission.policy.target_latency > Duration(0) ||
+                             submission.policy.stretch > 1;
+  if (!has_objective || state.backlog == nullptr ||
+      state.backlog->DrainTime() < kMinBacklog) {
     Forget(submission.job);
     return std::nullopt;
   }
--- a/libs/dispatch/src/backlog.cc
+++ b/libs/dispatch/src/backlog.cc
@@ -132,9 +132,21 @@
   return backlog_;
 }
 
+std::uint64_t Dispatcher::Impl::ReadyCpu(TrackedJob& job) const {
+  std::uint64_t cpu = 0;
+  for (const ReadyStep& it : ReadySteps(job)) {
+    const StepSpec& spec = job.spec->steps[it.step];
+    const StepState& step = job.occurrences.at(it.occurrence).steps[it.step];
+    if (workspaces_.MayPlace(job.workspace, spec.size, 1))
+      cpu += spec.size.cpu_millis * std::uint64_t{step.waiting()};
+  }
+  return cpu;
+}
+
 std::optional<PoolBacklog> Dispatcher::Impl::ComputeBacklog(Instant now) {
   if (!awaited_workers_.empty()) return std::nullopt;
   std::uint64_t usable = 0;
+  std::uint64_t used = 0;
   std::uint64_t long_running = 0;
   PlacedWork placed;
   for (auto& [id, worker] : workers_.all()) {
@@ -142,7 +154,10 @@
     // backlog of a pool that starts would be far too large.
     const bool is_usable = worker.is_listed && !worker.is_unresponsive &&
                            !worker.is_closed && !worker.spec.is_draining;
-    if (is_usable) usable += worker.spec.capacity.cpu_millis;
+    if (is_usable) {
+      usable += worker.spec.capacity.cpu_millis;
+      used += worker.used.cpu_millis;
+    }
     for (const TaskKey& key : worker.tasks) {
       TrackedJob* const job = FindJob(key.job);
       const TaskState* const task =
@@ -172,11 +187,18 @@
   backlog.running_core_ms = Rounded(placed.remaining - placed.total / 2);
   std::map<std::uint32_t, PoolBacklog::SizeClasses> levels;
   double urgent = 0;
+  std::uint64_t ready_cpu = 0;
   for (const auto& [id, job] : unfinished_jobs_) {
     if (const Duration mean = run_times_.MeanOf(job->queue); mean > Duration(0))
       backlog.run_times[job->queue] = mean;
     const StepSpec& first = job->spec->steps.front();
     if (first.is_long_running || first.fills_idle_cores) continue;
+    // Such a job starts after a newcomer of another workspace.
+    if (workspaces_.Excess(job->workspace) > 0) continue;
+    const std::uint64_t ready = ReadyCpu(*job);
+    ready_cpu += ready;
+    const bool is_running = job->placed != 0;
+    if (ready == 0 && !is_running) continue;
     const RankInputs& inputs = CachedRankInputs(*job);
     const JobRank rank = RankJob(*job, inputs, RankingPolicyOf(*job), now);
     const auto it = placed.by_job.find(job);
@@ -190,6 +212,9 @@
       levels[rank.priority][size_class] += Rounded(waiting);
     }
   }
+  // Work that waits for something else than cores, such as the steps before
+  // it, delays no newcomer.
+  if (ready_cpu <= SaturatingSubtract(usable, used)) return std::nullopt;
   backlog.urgent_core_ms = Rounded(urgent);
   for (const auto& [priority, core_ms] : levels) {
     if (backlog.levels.size() == kMaxBacklogLevels) break;
--- a/libs/jobserver/include/pomelomill/jobserver/coordinator.h
+++ b/libs/jobserver/include/pomelomill/jobserver/coordinator.h
@@ -29,6 +29,8 @@
   std::function<void(DispatchTiming, const QueueId&, Duration)> on_job_time;
   /// Receives the duration of each decision; optional.
   DecisionHook on_decision;
+  /// Owners of pools store their backlog for all entries.
+  bool publishes_backlogs = false;
   /// Receives the share of a workspace's cap that is stored for a pool;
   /// optional.
   std::function<void(const PoolId&, const WorkspaceId&, const ResourceAmount&)>
--- a/libs/jobserver/include/pomelomill/jobserver/job_server.h
+++ b/libs/jobserver/include/pomelomill/jobserver/job_server.h
@@ -25,6 +25,9 @@
   EventHook event;
   /// Stop() is complete: the process may close its connections and exit.
   std::function<void()> on_stopped;
+  /// The owners of pools tell all entries their backlog, and submissions are
+  /// rejected by it, see docs/design/admission.md.
+  bool rejects_overload = false;
 };
 
 /// One entry of the job service: the listeners for callers, peers, readiness
--- a/libs/jobserver/src/coordinator.cc
+++ b/libs/jobserver/src/coordinator.cc
@@ -234,6 +234,7 @@
                   worker_directory_.Follow(it, kLateCallLifetime);
                 },
             .lease = lease,
+            .publishes_backlog = hooks_.publishes_backlogs,
             .incarnation = incarnation_,
             .former = FormerOwnershipOf(pool),
             .wall_ms = hooks_.wall_ms,
--- a/libs/jobserver/src/pool_owner.h
+++ b/libs/jobserver/src/pool_owner.h
@@ -37,6 +37,7 @@
   std::function<void(const WorkerId&)> follow_worker;
   /// Lease to which the owner key is attached.
   LeaseId lease;
+  bool publishes_backlog = false;
   /// Incarnation of this process.
   IncarnationId incarnation;
   /// The latest ownership of the pool that this process had before, if any.
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -193,6 +193,7 @@
   settings.zone = ZoneId("z");
   settings.peer_address = name + ":2";
   CoordinatorHooks coordinator_hooks;
+  coordinator_hooks.publishes_backlogs = true;
   coordinator_hooks.wall_ms = [this] {
     return ToMillis(time_.Now().time_since_epoch());
   };
