Serve waiting pools of a small cap in turn, and drop caps that are gone

The pool whose turn it is, by the version of the record, may exceed its part; the others are limited to it at once, and give back what they cannot use.

--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -98,6 +98,9 @@
   static constexpr Duration kBacklogInterval = std::chrono::milliseconds(200);
 
   std::optional<PoolBacklog> ComputeBacklog(Instant now);
+  /// Returns the cores of the job's ready tasks that its workspace's limit
+  /// admits, in thousandths.
+  std::uint64_t ReadyCpu(TrackedJob& job) const;
 
   /// Returns the terms that apply to the job; null when they are unknown.
   const QueueTerms* FindTerms(const TrackedJob& job) const;
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -197,20 +197,20 @@
   }
   if (waiting.empty() && workspaces_.is_idle()) return;
   plan.examined += workers_.all().size();
-  std::uint64_t capacity = 0;
-  std::uint64_t used = 0;
+  ResourceAmount capacity;
+  ResourceAmount used;
   for (const auto& [id, worker] : workers_.all()) {
     if (!worker.is_listed || worker.is_unresponsive || worker.is_closed)
       continue;
-    capacity += worker.spec.capacity.cpu_millis;
-    used += worker.used.cpu_millis;
+    capacity = capacity + Times(worker.spec.capacity, 1);
+    used = used + Times(worker.used, 1);
   }
-  workspaces_.SetHeld(HeldAmounts());
   workspaces_.BeginPlan(std::move(waiting), capacity, used, now);
 }
 
 void Dispatcher::Impl::PlanStarts(Instant now, DispatchPlan& plan) {
   has_deferred_starts_ = false;
+  if (!workspaces_.is_idle()) workspaces_.SetHeld(HeldAmounts());
   if (!PlanTasksToRunAlone(now, plan)) return DeferStarts(now, plan);
   std::vector<TrackedJob*> ready;
   for (const auto& [id, job] : unfinished_jobs_) {
--- a/libs/dispatch/src/workspace_usage.cc
+++ b/libs/dispatch/src/workspace_usage.cc
@@ -13,6 +13,10 @@
 /// Workspaces get their parts of a pool over about this time, within which a
 /// job is of use to its caller.
 constexpr Duration kFairnessPeriod = std::chrono::seconds(5);
+/// A workspace yields to others once it has had its part this many times over.
+/// Parts are estimates over some seconds, and jobs that yield wait behind larger
+/// ones: yielding at once costs more jobs in time than it protects.
+constexpr double kToleratedParts = 2;
 constexpr double kMaxExcess = 15;
 
 ResourceAmount Find(const std::map<WorkspaceId, ResourceAmount>& amounts,
@@ -76,12 +80,17 @@
 
 void WorkspaceUsage::Charge(const WorkspaceId& workspace, const TaskSize& size,
                             Duration run_time, Instant now) {
-  // Charges of later starts count more instead of all earlier ones less.
-  const double later =
-      ToSeconds(now - decayed_at_) / ToSeconds(kFairnessPeriod);
+  Decay(now);
   charges_[workspace] += static_cast<double>(size.cpu_millis) *
-                         static_cast<double>(ToMillis(run_time)) *
-                         std::exp(std::max(later, 0.0));
+                         static_cast<double>(ToMillis(run_time));
+}
+
+void WorkspaceUsage::Decay(Instant now) {
+  if (now <= decayed_at_) return;
+  const double factor =
+      std::exp(-ToSeconds(now - decayed_at_) / ToSeconds(kFairnessPeriod));
+  decayed_at_ = now;
+  for (auto& [id, charge] : charges_) charge *= factor;
 }
 
 double WorkspaceUsage::RecentCpu(const WorkspaceId& workspace) const {
@@ -92,13 +101,11 @@
 }
 
 void WorkspaceUsage::BeginPlan(std::map<WorkspaceId, ResourceAmount> waiting,
-                               std::uint64_t capacity_cpu,
-                               std::uint64_t used_cpu, Instant now) {
+                               const ResourceAmount& capacity,
+                               const ResourceAmount& used, Instant now) {
   waiting_ = std::move(waiting);
-  const double factor =
-      std::exp(-ToSeconds(now - decayed_at_) / ToSeconds(kFairnessPeriod));
-  decayed_at_ = now;
-  for (auto& [id, charge] : charges_) charge *= factor;
+  unused_ = capacity - used;
+  Decay(now);
   // Less than a thousandth of a core.
   std::erase_if(charges_, [this](const auto& it) {
     return RecentCpu(it.first) < 1 && !waiting_.contains(it.first);
@@ -113,17 +120,17 @@
     shares.push_back({WeightOf(id), demand});
   std::uint64_t placed = 0;
   for (const auto& [id, amount] : placed_) placed += amount.cpu_millis;
-  const std::uint64_t others = SaturatingSubtract(used_cpu, placed);
-  fair_level_ =
-      FairLevel(std::move(shares),
-                static_cast<double>(SaturatingSubtract(capacity_cpu, others)));
+  const std::uint64_t others = SaturatingSubtract(used.cpu_millis, placed);
+  fair_level_ = FairLevel(
+      std::move(shares),
+      static_cast<double>(SaturatingSubtract(capacity.cpu_millis, others)));
 }
 
 std::uint32_t WorkspaceUsage::Excess(const WorkspaceId& workspace) const {
   if (workspace.empty() ||
       fair_level_ == std::numeric_limits<double>::infinity())
     return 0;
-  const double part = fair_level_ * WeightOf(workspace);
+  const double part = kToleratedParts * fair_level_ * WeightOf(workspace);
   const double recent = RecentCpu(workspace);
   if (recent < part) return 0;
   return static_cast<std::uint32_t>(
@@ -134,7 +141,8 @@
   std::map<WorkspaceId, WorkspaceUse> uses;
   for (const auto& [id, amount] : placed_) uses[id].used = amount;
   for (const auto& [id, amount] : held_) uses[id].used = uses[id].used + amount;
-  for (const auto& [id, amount] : waiting_) uses[id].waiting = amount;
+  for (const auto& [id, amount] : waiting_)
+    uses[id].waiting = Min(amount, unused_);
   return uses;
 }
 
--- a/libs/dispatch/src/workspace_usage.h
+++ b/libs/dispatch/src/workspace_usage.h
@@ -14,8 +14,8 @@
 ResourceAmount Times(const TaskSize& size, std::uint64_t tasks);
 
 /// What one pool has placed of each workspace, the limits on it, and the part
-/// of the pool that each workspace gets by its weight. Load that the parts
-/// answer: a workspace that sends a multiple of its usual load during a peak
+/// of the pool that each workspace gets by its weight. Designed for a
+/// workspace that sends a multiple of its usual load during a peak
 /// that exceeds the pool, where one job of any workspace is wider than its
 /// part, so that parts hold over some seconds and not at each moment. Jobs
 /// without a workspace are not counted.
@@ -51,19 +51,23 @@
   /// Counts the start of a task that is expected to run for `run_time`.
   void Charge(const WorkspaceId& workspace, const TaskSize& size,
               Duration run_time, Instant now);
-  /// Divides the pool's cores, of which `used_cpu` are used in all, among the
-  /// workspaces by weight. `waiting` are the ready tasks.
+  /// Divides the pool's cores among the workspaces by weight. `waiting` are the
+  /// ready tasks, `used` what all tasks of the pool use.
   void BeginPlan(std::map<WorkspaceId, ResourceAmount> waiting,
-                 std::uint64_t capacity_cpu, std::uint64_t used_cpu,
+                 const ResourceAmount& capacity, const ResourceAmount& used,
                  Instant now);
-  /// Returns how many times over the workspace has had its part of the cores
-  /// lately, rounded down and at most 15; 0 when the pool has cores for all. A
-  /// workspace goes before those with a higher result.
+  /// Returns how many times over the workspace has had twice its part of the
+  /// cores lately, rounded down and at most 15; 0 when the pool has cores for
+  /// all. A workspace goes before those with a higher result.
   std::uint32_t Excess(const WorkspaceId& workspace) const;
 
+  /// What each workspace uses and waits for, as far as the pool has resources
+  /// for it: a share of a cap is of no use beyond that.
   std::map<WorkspaceId, WorkspaceUse> uses() const;
 
  private:
+  /// Brings the charges to the present.
+  void Decay(Instant now);
   ResourceAmount Used(const WorkspaceId& workspace) const;
   double WeightOf(const WorkspaceId& workspace) const;
   /// Cores that the workspace has had lately, in thousandths.
@@ -74,6 +78,8 @@
   std::map<WorkspaceId, ResourceAmount> placed_;
   std::map<WorkspaceId, ResourceAmount> held_;
   std::map<WorkspaceId, ResourceAmount> waiting_;
+  /// Resources of the pool that were unused before the latest plan.
+  ResourceAmount unused_;
   /// Sum of the cores in thousandths times the expected milliseconds of all
   /// tasks that were started; decays with kFairnessPeriod. As of `decayed_at_`.
   std::map<WorkspaceId, double> charges_;
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -139,6 +139,8 @@
   void Release(std::function<void()> done) {
     if (is_releasing_) return;
     is_releasing_ = true;
+    // The next owner takes the shares over as they are stored.
+    if (shares_) shares_->Stop();
     on_released_ = std::move(done);
     timers_.ScheduleAfter(kReleaseTimeout, Guarded(&Impl::FinishRelease));
     ContinueRelease();
@@ -252,7 +254,7 @@
       EnsureLink({id, address}, leases_.Remaining());
     ApplyList();
     ScheduleCleanup();
-    PublishBacklogs();
+    if (hooks_.publishes_backlog) PublishBacklogs();
   }
 
   void PublishBacklogs() {
@@ -542,6 +544,9 @@
         // Otherwise some starts of a gang could be rejected but not all.
         for (const auto& [id, link] : links_)
           if (!link->may_start()) dispatcher_->OnWorkerUnresponsive(id);
+        // What has ended since may have to be given back before it is used
+        // again.
+        shares_->Update();
         const Instant began = timers_.Now();
         const DispatchPlan plan =
             dispatcher_->Plan(began, hooks_.wall_ms(), may_start);
--- a/libs/jobserver/src/share_writer.cc
+++ b/libs/jobserver/src/share_writer.cc
@@ -18,7 +18,12 @@
 constexpr std::size_t kChangesPerTransaction = (kMaxTransactionEntries - 1) / 2;
 /// Least time between two writes of a pool, a fraction of the run time of a
 /// task.
-constexpr Duration kMinWriteInterval = std::chrono::milliseconds(20);
+constexpr Duration kMinWriteInterval = std::chrono::milliseconds(50);
+/// Each change of a share is a write and an event for each owner, so shares
+/// grow by an eighth of the cap and shrink after two seconds: with a sixteenth
+/// and one second, the calls to the store grew by a quarter.
+constexpr ShareLedger::Options kLedgerOptions = {
+    .surplus_retention = std::chrono::seconds(2), .step_divisor = 8};
 constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
 /// Shares that are not needed any more are noticed this often.
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(250);
@@ -34,7 +39,7 @@
         pool_(std::move(pool)),
         token_(token),
         hooks_(std::move(hooks)),
-        ledger_(pool_) {}
+        ledger_(pool_, kLedgerOptions) {}
 
   void Halt() {
     is_halted_ = true;
@@ -44,6 +49,7 @@
   }
 
   void SetCaps(const std::map<WorkspaceId, ResourceAmount>& caps) {
+    if (is_halted_) return;
     ledger_.SetCaps(caps);
     if (!follower_ && !ledger_.CappedWorkspaces().empty()) Follow();
     PublishLimits();
@@ -51,13 +57,14 @@
   }
 
   void SetTakeoverComplete() {
-    if (std::exchange(is_takeover_complete_, true)) return;
+    if (is_halted_ || std::exchange(is_takeover_complete_, true)) return;
     ledger_.SetTakeoverComplete();
     PublishLimits();
   }
 
   void Update() {
-    if (!follower_ || !changes_.empty() || is_write_scheduled_) return;
+    if (is_halted_ || !follower_ || !changes_.empty() || is_write_scheduled_)
+      return;
     const Instant now = timers_.Now();
     if (now < next_write_at_) return ScheduleWrite(next_write_at_);
     changes_ = ledger_.Plan(hooks_.uses(), now, kChangesPerTransaction);
@@ -128,12 +135,14 @@
   }
 
   void PublishLimits() {
-    for (const WorkspaceId& it : ledger_.CappedWorkspaces()) {
-      const WorkspaceLimits limits{ledger_.Limit(it), ledger_.Cap(it)};
-      const auto [known, is_new] = published_.try_emplace(it, limits);
-      if (!is_new && known->second == limits) continue;
-      known->second = limits;
-      hooks_.on_limits(it, limits);
+    for (const WorkspaceId& it : ledger_.CappedWorkspaces())
+      published_.try_emplace(it);
+    // With those that have no cap any more.
+    for (auto& [id, published] : published_) {
+      const WorkspaceLimits limits{ledger_.Limit(id), ledger_.Cap(id)};
+      if (published == limits) continue;
+      published = limits;
+      hooks_.on_limits(id, limits);
     }
   }
 
@@ -229,5 +238,6 @@
 }
 void ShareWriter::SetTakeoverComplete() { impl_->SetTakeoverComplete(); }
 void ShareWriter::Update() { impl_->Update(); }
+void ShareWriter::Stop() { impl_->Halt(); }
 
 }  // namespace pomelomill
--- a/libs/jobserver/src/share_writer.h
+++ b/libs/jobserver/src/share_writer.h
@@ -47,6 +47,8 @@
   void SetTakeoverComplete();
   /// What the pool uses has changed: stores shares that must change.
   void Update();
+  /// Writes nothing more and calls no hook.
+  void Stop();
 
  private:
   class Impl;
--- a/libs/workspaces/include/pomelomill/workspaces/share_ledger.h
+++ b/libs/workspaces/include/pomelomill/workspaces/share_ledger.h
@@ -44,8 +44,8 @@
 /// Divides the caps of workspaces between pools, as seen by the owner of one
 /// pool. The sum of the shares in a record never grows beyond the cap, and an
 /// owner starts tasks only within the share of its pool, so that all owners
-/// together stay within the cap without asking one another. Load that it
-/// answers: one workspace whose queues peak by turns in different pools, under
+/// together stay within the cap without asking one another. Designed for one
+/// workspace whose queues peak by turns in different pools, under
 /// a cap that is below the sum of its peaks.
 class ShareLedger {
  public:
@@ -56,6 +56,9 @@
     Duration surplus_retention = std::chrono::seconds(1);
     /// Shares grow beyond what is needed by the cap divided by this number.
     std::uint64_t step_divisor = 16;
+    /// A waiting pool keeps the part of its share in which nothing runs for
+    /// this long: enough for several plans of its owner.
+    Duration unusable_retention = std::chrono::milliseconds(250);
   };
 
   explicit ShareLedger(PoolId pool) : ShareLedger(std::move(pool), Options()) {}
@@ -103,10 +106,24 @@
     /// Share of the pool when this owner took over.
     ResourceAmount inherited;
     std::optional<PoolShare> pending;
-    /// Since when the share has exceeded the need by more than a step.
+    /// Since when the share has exceeded the need by more than two steps, or a
+    /// part of it could not be used while other pools wait.
     std::optional<Instant> surplus_since;
   };
 
+  /// Other pools wait for more of the same cap.
+  struct Contention {
+    /// Waiting pools with this one; 0 when no other waits.
+    std::size_t pools = 0;
+    /// Whether this pool is the one that may exceed its equal part. The turn
+    /// changes with each version of the record, so that every pool can start
+    /// tasks that are larger than an equal part.
+    bool has_turn = false;
+  };
+
+  Contention FindContention(const Entry& entry) const;
+  /// Returns an equal part of the cap.
+  ResourceAmount PartOf(const Entry& entry, const Contention& contention) const;
   PoolShare OwnShare(const Entry& entry) const;
   ResourceAmount Inherited(const Entry& entry) const;
   /// Returns the share of the pool when the sum of the shares exceeds the cap,
--- a/libs/workspaces/src/share_ledger.cc
+++ b/libs/workspaces/src/share_ledger.cc
@@ -87,6 +87,26 @@
           limit(amount.gpus, sum.gpus, entry.cap.gpus)};
 }
 
+ShareLedger::Contention ShareLedger::FindContention(const Entry& entry) const {
+  std::vector<PoolId> waiting;
+  for (const auto& [pool, share] : entry.record)
+    if (pool != pool_ && share.is_waiting) waiting.push_back(pool);
+  if (waiting.empty()) return {};
+  waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), pool_),
+                 pool_);
+  return {.pools = waiting.size(),
+          .has_turn = waiting[entry.version.value() % waiting.size()] == pool_};
+}
+
+ResourceAmount ShareLedger::PartOf(const Entry& entry,
+                                   const Contention& contention) const {
+  const auto divide = [&](std::uint64_t cap) {
+    return IsUnlimited(cap) ? cap : cap / contention.pools;
+  };
+  return {divide(entry.cap.cpu_millis), divide(entry.cap.memory_mb),
+          divide(entry.cap.gpus)};
+}
+
 ResourceAmount ShareLedger::Limit(const WorkspaceId& workspace) const {
   const auto it = entries_.find(workspace);
   if (it == entries_.end()) return ResourceAmount::Unlimited();
@@ -96,7 +116,12 @@
   if (is_loaded_) {
     own = OwnShare(entry).amount;
     if (entry.pending) own = Min(own, entry.pending->amount);
-    own = LimitToCap(entry, own) - Inherited(entry);
+    own = LimitToCap(entry, own);
+    const Contention contention = FindContention(entry);
+    if (contention.pools != 0 && !contention.has_turn &&
+        OwnShare(entry).is_waiting)
+      own = Min(own, PartOf(entry, contention));
+    own = own - Inherited(entry);
   }
   return CombineAmounts(own, entry.cap,
                         [](std::uint64_t share, std::uint64_t cap) {
@@ -124,33 +149,35 @@
   const ResourceAmount need = used + LimitedPart(use.waiting, entry.cap);
   const ResourceAmount all = SumOf(entry.record);
   const ResourceAmount free = entry.cap - (all - own.amount);
-  std::uint64_t waiting_pools = 0;
-  for (const auto& [pool, share] : entry.record)
-    waiting_pools += pool != pool_ && share.is_waiting ? 1 : 0;
+  const Contention contention = FindContention(entry);
   const ResourceAmount step = CombineAmounts(
       entry.cap, need, [this](std::uint64_t cap, std::uint64_t needed) {
         if (IsUnlimited(cap) || needed == 0) return std::uint64_t{0};
         return std::max(cap / options_.step_divisor, needed / 4);
       });
   if (!need.FitsInto(own.amount) || !all.FitsInto(entry.cap)) {
-    entry.surplus_since.reset();
     ResourceAmount target =
-        Min(need + (waiting_pools == 0 ? step : ResourceAmount{}), free);
-    if (waiting_pools != 0) {
-      // Pools that wait for the same cap get equal parts of it; what exceeds
-      // the part is given back as tasks end.
-      const ResourceAmount part = CombineAmounts(
-          entry.cap, need, [&](std::uint64_t cap, std::uint64_t needed) {
-            return std::min(needed, cap / (waiting_pools + 1));
-          });
-      target = Min(target, Max(part, own.amount));
-      target = Min(target, Max(used, part));
+        Min(need + (contention.pools == 0 ? step : ResourceAmount{}), free);
+    if (contention.pools != 0 && !contention.has_turn) {
+      // What exceeds the pool's part is given back as tasks end.
+      const ResourceAmount part = PartOf(entry, contention);
+      target = Min(target, Max(part, used));
+      // A part in which no task fits is of use to another pool.
+      if (used.FitsInto(own.amount) && used != own.amount) {
+        if (!entry.surplus_since) entry.surplus_since = now;
+        if (now - *entry.surplus_since >= options_.unusable_retention)
+          target = Min(target, used);
+      } else {
+        entry.surplus_since.reset();
+      }
+    } else {
+      entry.surplus_since.reset();
     }
     // What runs is not given back.
     target = Max(target, Min(used, own.amount));
     return {target, !need.FitsInto(target)};
   }
-  if (waiting_pools != 0) {
+  if (contention.pools != 0) {
     entry.surplus_since.reset();
     return {need, false};
   }
--- a/libs/workspaces/test/share_ledger_test.cc
+++ b/libs/workspaces/test/share_ledger_test.cc
@@ -151,6 +151,35 @@
   CHECK(b.used >= kCap / 2 - kTask);
 }
 
+TEST_CASE("a cap of one task serves each of two waiting pools") {
+  // Guards against equal parts in which no task fits, so that none starts or
+  // one pool gets every turn.
+  Store store;
+  Owner a(0);
+  Owner b(1);
+  for (Owner* it : {&a, &b}) {
+    it->Load(store, kTask);
+    it->waiting = 20 * kTask;
+  }
+  for (int i = 0; i < 2'000; ++i) {
+    const Instant now{milliseconds(100 * i)};
+    for (Owner* it : {&a, &b}) {
+      if (it->used > 0) it->used -= kTask;
+      it->Settle(store, now);
+      it->StartTasks();
+      CHECK(a.used + b.used <= kTask);
+    }
+    // Other writes raise the store's counter too.
+    if (i % 7 == 0) {
+      store.version = Version(store.version.value() + 1);
+      for (Owner* it : {&a, &b})
+        it->ledger->SetRecord(kWorkspace, store.record, store.version);
+    }
+  }
+  CHECK(a.waiting == 0);
+  CHECK(b.waiting == 0);
+}
+
 TEST_CASE("a share that is not needed is given back after a while") {
   Store store;
   Owner a(0);
