Let a waiting pool take what is free after it has run nothing for a second

With a turn by the version of the record, a pool whose record did not change kept its turn and the whole cap: the test on equal parts had 16 of 16 cores in one pool. A pool that waits and runs nothing gives its part back after 250 ms and takes what is free after a second. The tests on equal parts and on a cap of one task for two pools pass.

A pool whose ready tasks fit into its unused cores has an empty backlog, not an unknown one.

--- a/libs/dispatch/src/backlog.cc
+++ b/libs/dispatch/src/backlog.cc
@@ -214,7 +214,7 @@
   }
   // Work that waits for something else than cores, such as the steps before
   // it, delays no newcomer.
-  if (ready_cpu <= SaturatingSubtract(usable, used)) return std::nullopt;
+  if (ready_cpu <= SaturatingSubtract(usable, used)) return backlog;
   backlog.urgent_core_ms = Rounded(urgent);
   for (const auto& [priority, core_ms] : levels) {
     if (backlog.levels.size() == kMaxBacklogLevels) break;
--- a/libs/dispatch/src/workspace_usage.cc
+++ b/libs/dispatch/src/workspace_usage.cc
@@ -14,8 +14,8 @@
 /// job is of use to its caller.
 constexpr Duration kFairnessPeriod = std::chrono::seconds(5);
 /// A workspace yields to others once it has had its part this many times over.
-/// Parts are estimates over some seconds, and jobs that yield wait behind larger
-/// ones: yielding at once costs more jobs in time than it protects.
+/// Parts are estimates over some seconds, and jobs that yield wait behind
+/// larger ones: yielding at once costs more jobs in time than it protects.
 constexpr double kToleratedParts = 2;
 constexpr double kMaxExcess = 15;
 
--- a/libs/workspaces/include/pomelomill/workspaces/share_ledger.h
+++ b/libs/workspaces/include/pomelomill/workspaces/share_ledger.h
@@ -115,9 +115,9 @@
   struct Contention {
     /// Waiting pools with this one; 0 when no other waits.
     std::size_t pools = 0;
-    /// Whether this pool is the one that may exceed its equal part. The turn
-    /// changes with each version of the record, so that every pool can start
-    /// tasks that are larger than an equal part.
+    /// Whether this pool may exceed its equal part: it has run nothing for so
+    /// long that its tasks or gangs may be larger than the part. The others
+    /// come next, since each gives back as its tasks end.
     bool has_turn = false;
   };
 
--- a/libs/workspaces/src/share_ledger.cc
+++ b/libs/workspaces/src/share_ledger.cc
@@ -6,6 +6,10 @@
 namespace pomelomill {
 namespace {
 
+/// A waiting pool that runs nothing gives its part back first, and takes what
+/// is free after this many times as long.
+constexpr int kPartsOfTurn = 4;
+
 ResourceAmount SumOf(const ShareRecord& record) {
   ResourceAmount sum;
   for (const auto& [pool, share] : record) sum = sum + share.amount;
@@ -92,10 +96,7 @@
   for (const auto& [pool, share] : entry.record)
     if (pool != pool_ && share.is_waiting) waiting.push_back(pool);
   if (waiting.empty()) return {};
-  waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), pool_),
-                 pool_);
-  return {.pools = waiting.size(),
-          .has_turn = waiting[entry.version.value() % waiting.size()] == pool_};
+  return {.pools = waiting.size() + 1};
 }
 
 ResourceAmount ShareLedger::PartOf(const Entry& entry,
@@ -117,10 +118,6 @@
     own = OwnShare(entry).amount;
     if (entry.pending) own = Min(own, entry.pending->amount);
     own = LimitToCap(entry, own);
-    const Contention contention = FindContention(entry);
-    if (contention.pools != 0 && !contention.has_turn &&
-        OwnShare(entry).is_waiting)
-      own = Min(own, PartOf(entry, contention));
     own = own - Inherited(entry);
   }
   return CombineAmounts(own, entry.cap,
@@ -149,7 +146,7 @@
   const ResourceAmount need = used + LimitedPart(use.waiting, entry.cap);
   const ResourceAmount all = SumOf(entry.record);
   const ResourceAmount free = entry.cap - (all - own.amount);
-  const Contention contention = FindContention(entry);
+  Contention contention = FindContention(entry);
   const ResourceAmount step = CombineAmounts(
       entry.cap, need, [this](std::uint64_t cap, std::uint64_t needed) {
         if (IsUnlimited(cap) || needed == 0) return std::uint64_t{0};
@@ -158,20 +155,20 @@
   if (!need.FitsInto(own.amount) || !all.FitsInto(entry.cap)) {
     ResourceAmount target =
         Min(need + (contention.pools == 0 ? step : ResourceAmount{}), free);
+    if (contention.pools == 0 || !used.IsZero()) {
+      entry.surplus_since.reset();
+    } else if (!entry.surplus_since) {
+      entry.surplus_since = now;
+    }
+    // Nothing has run for this long although the pool has a part.
+    const Duration idle =
+        entry.surplus_since ? now - *entry.surplus_since : Duration(0);
+    contention.has_turn = idle >= kPartsOfTurn * options_.unusable_retention;
     if (contention.pools != 0 && !contention.has_turn) {
       // What exceeds the pool's part is given back as tasks end.
-      const ResourceAmount part = PartOf(entry, contention);
-      target = Min(target, Max(part, used));
+      target = Min(target, Max(PartOf(entry, contention), used));
       // A part in which no task fits is of use to another pool.
-      if (used.FitsInto(own.amount) && used != own.amount) {
-        if (!entry.surplus_since) entry.surplus_since = now;
-        if (now - *entry.surplus_since >= options_.unusable_retention)
-          target = Min(target, used);
-      } else {
-        entry.surplus_since.reset();
-      }
-    } else {
-      entry.surplus_since.reset();
+      if (idle >= options_.unusable_retention) target = {};
     }
     // What runs is not given back.
     target = Max(target, Min(used, own.amount));
