Give the workspaces of the soak caps that its load fits into

The record shows alpha at its cap of 6 cores all the time (workspace-share: 6,000 of 6,000 used, 43,500 waiting): its clients submit about 11 cores of work each, so that the accepted jobs could not end in time under the cap.

--- a/tools/soak/key_ring.cc
+++ b/tools/soak/key_ring.cc
@@ -21,8 +21,8 @@
 KeyRing::KeyRing(platform::stand_in::Store& store, Record& record)
     : store_(store),
       record_(record),
-      workspaces_({{"alpha", {"alpha-0"}, 6'000},
-                   {"beta", {"beta-0"}, 9'000},
+      workspaces_({{"alpha", {"alpha-0"}, 16'000},
+                   {"beta", {"beta-0"}, 20'000},
                    {"gamma", {"gamma-0"}, 0}}) {
   for (const TenantShape& it : workspaces_) record_.SetCap(it.name, it.cap_cpu);
   Put();
