Capture no structured binding in lambdas

A run of the linter on the changed files reported it in dispatcher_plan.cc and in workspace_test.cc, and a product of int in http_listener_test.cc.

Change: the parts of the pair and of the tuple have names of their own, and the product is of std::size_t. No behaviour changes.

--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -240,8 +240,8 @@
   std::make_heap(queue.begin(), queue.end(), std::greater<>());
   while (!queue.empty()) {
     std::pop_heap(queue.begin(), queue.end(), std::greater<>());
-    auto& [rank, index, next] = queue.back();
-    TrackedJob& job = *next;
+    JobRank& rank = std::get<JobRank>(queue.back());
+    TrackedJob& job = *std::get<TrackedJob*>(queue.back());
     // Placing tasks has raised the excess of the workspace: jobs of others may
     // come first now.
     const auto is_outranked = [&] {
--- a/libs/http/test/http_listener_test.cc
+++ b/libs/http/test/http_listener_test.cc
@@ -359,7 +359,7 @@
   REQUIRE(f.RunUntil([&] { return !f.held.empty(); }));
   caller.reset();
   REQUIRE(f.RunUntil([&] { return f.closed == 1; }));
-  CHECK(options.memory_budget->held() >= 3 * 64 * kKb);
+  CHECK(options.memory_budget->held() >= std::size_t{3} * 64 * kKb);
   f.held[0]({});
   f.held.clear();
   f.Run(milliseconds(5));
--- a/libs/jobserver/test/workspace_test.cc
+++ b/libs/jobserver/test/workspace_test.cc
@@ -69,10 +69,11 @@
     INFO(world_.History());
     INFO(Join(world_.Violations("QUOTA")));
     CHECK(world_.Violations("QUOTA").empty());
-    for (const auto& [job, pool] : jobs_) {
+    for (const auto& it : jobs_) {
+      const std::string& job = it.first;
       if (world_.outcome(job) != AcceptOutcome::kAccepted) continue;
       CAPTURE(job);
-      CHECK(world_.Phase(job, pool) == "complete");
+      CHECK(world_.Phase(job, it.second) == "complete");
     }
   }
 
