--- a/tools/soak/key_ring.cc
+++ b/tools/soak/key_ring.cc
@@ -58,9 +58,11 @@
   for (const std::string& entry : entries) {
     for (const std::string& it : withdrawn_) {
       const int status = call(entry, it);
-      if (status != kUnauthorized)
-        record_.Broken("KEY", entry + " answers " + std::to_string(status) +
-                                  " to the key " + it);
+      if (status == kUnauthorized) continue;
+      std::string text = entry;
+      text += " answers " + std::to_string(status);
+      text += " to the key " + it;
+      record_.Broken("KEY", text);
     }
     for (const TenantShape& it : workspaces_) {
       const int status = call(entry, it.keys.back());
