Keep the links to a pool's workers apart from its owner

The defaults of ShareLedger are those of the product, whose options the writer no longer replaces. No behaviour changes.

--- a/libs/jobserver/src/dispatch_event_fields.cc
+++ b/libs/jobserver/src/dispatch_event_fields.cc
@@ -4,6 +4,8 @@
 
 namespace pomelomill {
 
+const char* YesOrNo(bool is_true) { return is_true ? "yes" : "no"; }
+
 std::vector<EventField> FieldsOf(const DispatchEvent& event) {
   std::vector<EventField> fields;
   if (!event.key.job.empty()) {
@@ -41,7 +43,7 @@
           {"gpus", std::to_string(share.amount.gpus)},
           {"used_cpu", std::to_string(use.used.cpu_millis)},
           {"waiting_cpu", std::to_string(use.waiting.cpu_millis)},
-          {"more_needed", share.is_waiting ? "yes" : "no"}};
+          {"more_needed", YesOrNo(share.is_waiting)}};
 }
 
 }  // namespace pomelomill
--- a/libs/jobserver/src/dispatch_event_fields.h
+++ b/libs/jobserver/src/dispatch_event_fields.h
@@ -5,9 +5,12 @@
 #include "pomelomill/base/event_log.h"
 #include "pomelomill/dispatch/dispatcher.h"
 #include "pomelomill/jobserver/worker_link.h"
+#include "pomelomill/workspaces/share_ledger.h"
 
 namespace pomelomill {
 
+const char* YesOrNo(bool is_true);
+
 /// Returns the fields of a dispatcher's event for the log; a part that the
 /// event does not have is left out.
 std::vector<EventField> FieldsOf(const DispatchEvent& event);
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -8,18 +8,15 @@
 #include "backlog_publisher.h"
 #include "dispatch_event_fields.h"
 #include "evacuation_tracker.h"
-#include "inherited_leases.h"
 #include "order_sender.h"
 #include "plan_scheduler.h"
 #include "pomelomill/dispatch/dispatcher.h"
-#include "pomelomill/jobserver/worker_link.h"
 #include "pomelomill/store/prefix_follower.h"
 #include "pool_roster.h"
+#include "pool_workers.h"
 #include "progress_writer.h"
 #include "share_writer.h"
 #include "store_keys.h"
-#include "store_records.h"
-#include "worker_backlogs.h"
 
 namespace pomelomill {
 namespace {
@@ -41,8 +38,6 @@
 /// fails for good long before one owner has started it this often.
 constexpr std::uint32_t kRunNumbersPerOwner = 100'000;
 
-const char* YesOrNo(bool is_true) { return is_true ? "yes" : "no"; }
-
 }  // namespace
 
 class PoolOwner::Impl : public std::enable_shared_from_this<Impl> {
@@ -56,6 +51,8 @@
         pool_(std::move(pool)),
         token_(token),
         hooks_(std::move(hooks)),
+        workers_(platform_.workers, timers_, settings_.task_lease,
+                 MakeWorkersHooks()),
         orders_(platform_.workers, timers_, MakeOrderHooks()),
         self_{settings.entry, hooks_.incarnation},
         newest_token_(token),
@@ -79,9 +76,7 @@
             .on_committed = [this](Version it) { OnCommitted(it); },
             .on_lost = [this] { ReportLost("the owner key has changed"); },
             .on_bad_record =
-                [this](const std::string& key) {
-                  Event("bad-record", {{"key", key}});
-                }});
+                [this](const std::string& it) { ReportBadRecord(it); }});
     writer_.emplace(
         platform_.store, timers_, pool_, token_,
         ProgressWriterHooks{
@@ -95,7 +90,8 @@
     evacuations_.emplace(
         platform_.store, timers_, pool_, token_,
         EvacuationTrackerHooks{
-            .is_empty = [this](const WorkerId& it) { return IsEmpty(it); },
+            .is_empty =
+                [this](const WorkerId& it) { return workers_.IsEmpty(it); },
             .on_retry =
                 [this] { plans_.ScheduleAt(timers_.Now() + kRetryDelay); },
             .on_report_finished =
@@ -109,7 +105,7 @@
   void Halt() {
     is_halted_ = true;
     hooks_ = {};
-    links_.clear();
+    workers_.Halt();
     follower_.reset();
     writer_.reset();
     shares_.reset();
@@ -125,14 +121,13 @@
   }
 
   void OnWorkers(const std::vector<ListedWorker>& workers) {
-    listed_ = workers;
+    workers_.SetListed(workers);
     ApplyList();
   }
 
   void OnClusterChange() {
     if (!leases_.Update()) return;
-    for (auto& [id, link] : links_)
-      link->LimitInheritedLease(leases_.Remaining());
+    workers_.LimitInheritedLeases(leases_.Remaining());
     roster_->StoreEarlierOwnersGone();
   }
 
@@ -173,6 +168,10 @@
     hooks_.event("owner", event, std::move(fields));
   }
 
+  void ReportBadRecord(const std::string& key) {
+    Event("bad-record", {{"key", key}});
+  }
+
   void ReportLost(const char* reason) {
     Event("lost", {{"reason", reason}});
     // Deferred: the hook destroys this object, whose functions are running.
@@ -212,7 +211,7 @@
       if (progress) {
         loaded_progress_[job] = *progress;
       } else {
-        Event("bad-record", {{"key", it.key}});
+        ReportBadRecord(it.key);
       }
     }
     FollowJobs();
@@ -251,7 +250,7 @@
            {"workers", std::to_string(roster_->previous().workers.size())},
            {"owners", std::to_string(roster_->current().owner_count)}});
     for (const auto& [id, address] : roster_->current().workers)
-      EnsureLink({id, address}, leases_.Remaining());
+      workers_.EnsureLink({id, address}, leases_.Remaining());
     ApplyList();
     ScheduleCleanup();
     if (hooks_.publishes_backlog) PublishBacklogs();
@@ -299,14 +298,14 @@
     if (!change.key.starts_with(jobs)) return;
     const JobId id(change.key.substr(jobs.size()));
     auto job = DecodeStoredJob(change.value);
-    if (!job) return Event("bad-record", {{"key", change.key}});
-    AddedJob added;
-    added.id = id;
-    added.queue = job->queue;
-    added.workspace = job->workspace;
-    added.spec = std::make_shared<const JobSpec>(std::move(job->spec));
-    added.terms = job->terms;
-    added.is_inherited = change.created.value() < token_.value();
+    if (!job) return ReportBadRecord(change.key);
+    AddedJob added{
+        .id = id,
+        .queue = job->queue,
+        .spec = std::make_shared<const JobSpec>(std::move(job->spec)),
+        .workspace = job->workspace,
+        .terms = job->terms,
+        .is_inherited = change.created.value() < token_.value()};
     if (const auto it = loaded_progress_.find(id); it != loaded_progress_.end())
       added.progress = std::move(it->second);
     dispatcher_->AddJob(added, timers_.Now());
@@ -319,13 +318,10 @@
     for (const QueueConfig& it : config_.queues)
       dispatcher_->SetQueue(it.id, {it.policy, config_.revision});
     std::map<WorkspaceId, double> weights;
-    std::map<WorkspaceId, ResourceAmount> caps;
-    for (const WorkspaceConfig& it : config_.workspaces) {
+    for (const WorkspaceConfig& it : config_.workspaces)
       weights[it.id] = it.weight;
-      caps[it.id] = it.cap;
-    }
     dispatcher_->SetWorkspaceWeights(std::move(weights));
-    shares_->SetCaps(caps);
+    shares_->SetCaps(config_.workspaces);
     plans_.Schedule();
   }
 
@@ -365,129 +361,40 @@
   /// before tasks are started there; one on which nothing runs need not be.
   void UpdateRoster() {
     if (is_releasing_) return;
-    auto wanted = roster_->current().workers;
-    for (const ListedWorker& it : listed_) wanted[it.spec.id] = it.address;
-    std::erase_if(wanted, [&](const auto& it) {
-      const auto link = links_.find(it.first);
-      const bool is_called =
-          link != links_.end() && link->second->address().address == it.second;
-      return lost_workers_.contains(it.first) &&
-             (is_called || !IsListed(it.first));
-    });
-    roster_->SetWorkers(std::move(wanted));
-  }
-
-  bool IsListed(const WorkerId& id) const {
-    return std::any_of(listed_.begin(), listed_.end(),
-                       [&](const auto& it) { return it.spec.id == id; });
+    roster_->SetWorkers(workers_.WantedRoster(roster_->current().workers));
   }
 
   void ApplyWorkers() {
     std::vector<WorkerSpec> usable;
-    for (const ListedWorker& it : listed_) {
+    for (const ListedWorker& it : workers_.listed()) {
       if (!roster_->Contains({it.spec.id, it.address})) continue;
       usable.push_back(it.spec);
-      EnsureLink({it.spec.id, it.address}, leases_.RemainingWithOwn());
-      links_.at(it.spec.id)->OnListed(it.spec.started_ms);
+      workers_.EnsureLink({it.spec.id, it.address}, leases_.RemainingWithOwn());
+      workers_.FindLink(it.spec.id)->OnListed(it.spec.started_ms);
     }
     dispatcher_->SetListedWorkers(usable);
-    DropGoneLinks();
+    workers_.DropGoneLinks();
     plans_.Schedule();
   }
 
-  void DropGoneLinks() {
-    std::erase_if(links_, [&](const auto& it) {
-      const auto& [id, link] = it;
-      if (!link->is_lost() || listed_.empty() || IsListed(id)) return false;
-      // The next incarnation of a process that is up would be listed.
-      dispatcher_->ReleaseHeldTasks(id, timers_.Now());
-      // As long as an order is open, the link calls that incarnation early.
-      return !link->has_open_orders();
-    });
-  }
-
-  void EnsureLink(const WorkerAddress& worker, Duration inherited_lease) {
-    auto& link = links_[worker.id];
-    if (link != nullptr && link->address() == worker) return;
-    lost_workers_.erase(worker.id);
-    const auto former = std::exchange(
-        link, std::make_unique<WorkerLink>(
-                  platform_.workers, timers_, worker, newest_token_,
-                  LinkHooks(worker.id),
-                  WorkerLinkOptions{.task_lease = settings_.task_lease,
-                                    .max_inherited_lease = inherited_lease}));
-    if (former != nullptr) link->InheritOrders(*former);
-    link->Start();
-  }
-
-  WorkerLinkHooks LinkHooks(const WorkerId& id) {
+  PoolWorkersHooks MakeWorkersHooks() {
     return {
-        .on_report =
-            [this, id](const WorkerReport& report) {
-              is_list_outdated_ |= lost_workers_.erase(id) != 0;
-              const std::size_t ends = report.ended.size();
-              if (backlogs_.Begins(id, ends))
-                Event("worker-backlog",
-                      {{"worker", id.value()}, {"ends", std::to_string(ends)}});
-              dispatcher_->OnReport(id, report, timers_.Now(),
-                                    hooks_.wall_ms());
-              if (!links_.at(id)->needs_token())
-                dispatcher_->ReleaseHeldTasks(id, timers_.Now());
-              plans_.Schedule();
-            },
-        .on_responsive =
-            [this, id](const WorkerReport& report,
-                       const WorkerSilence& silence) {
-              Event("worker-responds",
-                    FieldsOf(id, report, silence, AgeMs(report.started_ms)));
-            },
-        .on_relisted =
-            [this, id](std::int64_t started_ms) {
-              Event("worker-relisted",
-                    {{"worker", id.value()},
-                     {"started_ms", std::to_string(started_ms)},
-                     {"age_ms", std::to_string(AgeMs(started_ms))}});
-              dispatcher_->OnWorkerUnresponsive(id);
-            },
-        .on_unresponsive =
-            [this, id](std::error_code ec) {
-              Event("worker-silent", {{"worker", id.value()},
-                                      {"error", ec.message()},
-                                      {"listed", YesOrNo(IsListed(id))}});
-              dispatcher_->OnWorkerUnresponsive(id);
-            },
-        .on_lost =
-            [this, id](WorkerLoss loss) {
-              Event("worker-lost", {{"worker", id.value()},
-                                    {"reason", ToText(loss)},
-                                    {"listed", YesOrNo(IsListed(id))}});
-              lost_workers_.insert(id);
-              is_list_outdated_ = true;
-              dispatcher_->OnWorkerGone(id, loss, timers_.Now(),
-                                        hooks_.wall_ms());
-              plans_.Schedule();
+        .dispatcher = [this]() -> Dispatcher& { return *dispatcher_; },
+        .event =
+            [this](std::string_view event, std::vector<EventField> fields) {
+              Event(event, std::move(fields));
             },
+        .on_change = [this] { plans_.Schedule(); },
         .on_fenced = [this] { ReportLost("a worker has seen a higher token"); },
-        .ack_limit = [this, id] { return dispatcher_->AckLimit(id); },
-        .has_unstored_ends = [this,
-                              id] { return dispatcher_->HasUnstoredEnds(id); },
-        .has_tasks = [this, id] { return dispatcher_->HasTasks(id); },
         .may_send_orders = [this] { return MaySendOrders(); },
         .newest_token = [this] { return newest_token_; },
-        .request_token = [this] { roster_->Rewrite(); }};
-  }
-
-  /// Age of an incarnation of a worker by this process's clock, which may
-  /// differ from the worker's.
-  std::int64_t AgeMs(std::int64_t started_ms) const {
-    return hooks_.wall_ms() - started_ms;
+        .request_token = [this] { roster_->Rewrite(); },
+        .wall_ms = hooks_.wall_ms};
   }
 
   OrderSenderHooks MakeOrderHooks() {
-    return {.find_link = [this](const WorkerId& id) -> WorkerLink* {
-              const auto it = links_.find(id);
-              return it == links_.end() ? nullptr : it->second.get();
-            },
+    return {.find_link =
+                [this](const WorkerId& id) { return workers_.FindLink(id); },
             .may_start_tasks = [this] { return MayStartTasks(); },
             .may_send_orders = [this] { return MaySendOrders(); },
             .on_start_result =
@@ -523,7 +430,7 @@
     const FencingToken token(version.value());
     if (token <= newest_token_) return;
     newest_token_ = token;
-    for (auto& [id, link] : links_) link->OnNewerToken();
+    workers_.OnNewerToken();
   }
 
   bool MaySendOrders() const {
@@ -537,13 +444,12 @@
   }
 
   void Plan() {
-    if (std::exchange(is_list_outdated_, false)) ApplyList();
+    if (workers_.TakeRosterChange()) ApplyList();
     if (is_loaded_ && !is_releasing_) {
       if (MaySendOrders()) {
         const bool may_start = MayStartTasks();
         // Otherwise some starts of a gang could be rejected but not all.
-        for (const auto& [id, link] : links_)
-          if (!link->may_start()) dispatcher_->OnWorkerUnresponsive(id);
+        workers_.ReportBlockedWorkers();
         // What has ended since may have to be given back before it is used
         // again.
         shares_->Update();
@@ -569,13 +475,6 @@
     StoreProgress();
   }
 
-  /// Whether the worker has no link, is lost, or has reported and runs no task.
-  bool IsEmpty(const WorkerId& worker) const {
-    const auto link = links_.find(worker);
-    return link == links_.end() || link->second->is_lost() ||
-           dispatcher_->IsEmpty(worker);
-  }
-
   void StoreProgress() {
     if (!dispatcher_ || !writer_->is_idle()) return;
     if (!is_releasing_ && timers_.Now() < store_at_) return ScheduleStore();
@@ -598,7 +497,7 @@
 
   void OnStored(std::uint64_t number) {
     dispatcher_->OnStored(number);
-    for (auto& [id, link] : links_) link->OnEndsStored();
+    workers_.OnEndsStored();
     StoreProgress();
     if (is_releasing_) ContinueRelease();
   }
@@ -636,6 +535,7 @@
   const PoolId pool_;
   const FencingToken token_;
   PoolOwnerHooks hooks_;
+  PoolWorkers workers_;
   OrderSender orders_;
   const OwnerRecord self_;
   /// The store's version of the latest write that this owner made on condition
@@ -649,11 +549,6 @@
   std::optional<ShareWriter> shares_;
   std::optional<Dispatcher> dispatcher_;
   std::optional<PrefixFollower> follower_;
-  std::map<WorkerId, std::unique_ptr<WorkerLink>> links_;
-  std::vector<ListedWorker> listed_;
-  /// Workers on which nothing runs any more, see WorkerLinkHooks::on_lost.
-  std::set<WorkerId> lost_workers_;
-  WorkerBacklogs backlogs_;
   std::optional<PoolRoster> roster_;
   /// Stored progress of jobs that are not loaded yet.
   std::map<JobId, JobProgress> loaded_progress_;
@@ -667,7 +562,6 @@
   /// Earliest time of the next write of progress.
   Instant store_at_{};
   bool is_store_scheduled_ = false;
-  bool is_list_outdated_ = false;
   bool is_loaded_ = false;
   bool is_releasing_ = false;
   bool is_owner_key_removal_sent_ = false;
--- a/libs/jobserver/src/progress_writer.cc
+++ b/libs/jobserver/src/progress_writer.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "owner_condition.h"
 #include "pomelomill/store/adaptive_committer.h"
 #include "pomelomill/store/store_error.h"
 #include "store_keys.h"
@@ -63,7 +64,7 @@
   void Remove(const std::vector<JobId>& jobs) {
     for (std::size_t i = 0; i < jobs.size(); i += kRemovalsPerTransaction) {
       Transaction transaction;
-      transaction.expectations.push_back(OwnerExpectation());
+      transaction.expectations.push_back(OwnerExpectation(pool_, token_));
       const std::size_t end =
           std::min(jobs.size(), i + kRemovalsPerTransaction);
       for (std::size_t n = i; n < end; ++n) {
@@ -84,10 +85,6 @@
   }
 
  private:
-  Transaction::Expectation OwnerExpectation() const {
-    return {OwnerKey(pool_), Version(token_.value())};
-  }
-
   void Commit() {
     if (pending_writes_.empty()) {
       const std::uint64_t number = std::exchange(batch_number_, 0);
@@ -95,7 +92,7 @@
     }
     in_flight_count_ = std::min(pending_writes_.size(), kJobsPerTransaction);
     Transaction transaction;
-    transaction.expectations.push_back(OwnerExpectation());
+    transaction.expectations.push_back(OwnerExpectation(pool_, token_));
     for (std::size_t i = 0; i < in_flight_count_; ++i) {
       const std::string key = ProgressKey(pool_, pending_writes_[i].job);
       transaction.expectations.push_back(
@@ -121,13 +118,7 @@
                                 static_cast<std::ptrdiff_t>(in_flight_count_));
       return Commit();
     }
-    const std::string owner_key = OwnerKey(pool_);
-    const bool is_owned = std::any_of(
-        result->current.begin(), result->current.end(),
-        [&](const StoredKey& it) {
-          return it.key == owner_key && it.version.value() == token_.value();
-        });
-    if (!is_owned) return hooks_.on_lost();
+    if (!IsStillOwned(result->current, pool_, token_)) return hooks_.on_lost();
     // A transaction whose response was lost has taken effect; its versions are
     // expected from now on.
     const std::string prefix = ProgressPrefix(pool_);
--- a/libs/jobserver/src/share_writer.cc
+++ b/libs/jobserver/src/share_writer.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "owner_condition.h"
 #include "pomelomill/store/adaptive_committer.h"
 #include "pomelomill/store/prefix_follower.h"
 #include "pomelomill/workspaces/share_ledger.h"
@@ -19,11 +20,6 @@
 /// Least time between two writes of a pool, a fraction of the run time of a
 /// task.
 constexpr Duration kMinWriteInterval = std::chrono::milliseconds(50);
-/// Each change of a share is a write and an event for each owner, so shares
-/// grow by an eighth of the cap and shrink after two seconds: with a sixteenth
-/// and one second, the calls to the store grew by a quarter.
-constexpr ShareLedger::Options kLedgerOptions = {
-    .surplus_retention = std::chrono::seconds(2), .step_divisor = 8};
 constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
 /// Shares that are not needed any more are noticed this often.
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(250);
@@ -39,7 +35,7 @@
         pool_(std::move(pool)),
         token_(token),
         hooks_(std::move(hooks)),
-        ledger_(pool_, kLedgerOptions) {}
+        ledger_(pool_) {}
 
   void Halt() {
     is_halted_ = true;
@@ -48,8 +44,10 @@
     for (const TimerId it : {write_timer_, check_timer_}) timers_.Cancel(it);
   }
 
-  void SetCaps(const std::map<WorkspaceId, ResourceAmount>& caps) {
+  void SetCaps(const std::vector<WorkspaceConfig>& workspaces) {
     if (is_halted_) return;
+    std::map<WorkspaceId, ResourceAmount> caps;
+    for (const WorkspaceConfig& it : workspaces) caps[it.id] = it.cap;
     ledger_.SetCaps(caps);
     if (!follower_ && !ledger_.CappedWorkspaces().empty()) Follow();
     PublishLimits();
@@ -149,8 +147,7 @@
   void Commit() {
     next_write_at_ = timers_.Now() + kMinWriteInterval;
     Transaction transaction;
-    transaction.expectations.push_back(
-        {OwnerKey(pool_), Version(token_.value())});
+    transaction.expectations.push_back(OwnerExpectation(pool_, token_));
     for (const ShareChange& it : changes_) {
       const std::string key = ShareKey(it.workspace);
       transaction.expectations.push_back({key, it.expected});
@@ -183,13 +180,8 @@
         hooks_.on_share(it.workspace, it.former, it.share);
       }
     } else {
-      const std::string owner_key = OwnerKey(pool_);
-      const bool is_owned = std::any_of(
-          result->current.begin(), result->current.end(),
-          [&](const StoredKey& it) {
-            return it.key == owner_key && it.version.value() == token_.value();
-          });
-      if (!is_owned) return hooks_.on_lost();
+      if (!IsStillOwned(result->current, pool_, token_))
+        return hooks_.on_lost();
       for (const ShareChange& it : changes) Reconcile(it, result->current);
     }
     PublishLimits();
@@ -233,8 +225,8 @@
                                    std::move(hooks))) {}
 ShareWriter::~ShareWriter() { impl_->Halt(); }
 
-void ShareWriter::SetCaps(const std::map<WorkspaceId, ResourceAmount>& caps) {
-  impl_->SetCaps(caps);
+void ShareWriter::SetCaps(const std::vector<WorkspaceConfig>& workspaces) {
+  impl_->SetCaps(workspaces);
 }
 void ShareWriter::SetTakeoverComplete() { impl_->SetTakeoverComplete(); }
 void ShareWriter::Update() { impl_->Update(); }
--- a/libs/jobserver/src/share_writer.h
+++ b/libs/jobserver/src/share_writer.h
@@ -8,8 +8,10 @@
 
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/dispatch/dispatcher.h"
+#include "pomelomill/jobserver/fleet_config.h"
 #include "pomelomill/jobserver/worker_calls.h"
 #include "pomelomill/store/transaction_client.h"
+#include "pomelomill/workspaces/share_ledger.h"
 
 namespace pomelomill {
 
@@ -42,7 +44,7 @@
   ShareWriter& operator=(const ShareWriter&) = delete;
 
   /// Sets the caps of a configuration, see ShareLedger::SetCaps().
-  void SetCaps(const std::map<WorkspaceId, ResourceAmount>& caps);
+  void SetCaps(const std::vector<WorkspaceConfig>& workspaces);
   /// All runs of earlier owners are known.
   void SetTakeoverComplete();
   /// What the pool uses has changed: stores shares that must change.
