Say once how long a task is expected to run, and split the share of a pool

Cause: backlog.cc had a copy of ExpectedTime() of job_rank.cc; dispatcher.h included the ledger of shares for one struct; the decision on a contended share was one long branch with a struct of which one field was set later; some comments told of tuning or spoke figuratively.

Change: ExpectedTime() is in job_rank.h, WorkspaceUse beside ResourceAmount, ShareLedger::ContendedShare() decides what a pool takes while others wait. The comments give terms and reasons only.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -15,7 +15,6 @@
 #include "pomelomill/dispatch/job_spec.h"
 #include "pomelomill/dispatch/worker_report.h"
 #include "pomelomill/workspaces/resource_amount.h"
-#include "pomelomill/workspaces/share_ledger.h"
 
 namespace pomelomill {
 
@@ -227,8 +226,8 @@
   /// What the pool may have placed of the workspace: no further task starts
   /// that would exceed it.
   ResourceAmount placed = ResourceAmount::Unlimited();
-  /// What the workspace may run in all pools. Work beyond it attracts no
-  /// workers, see DispatchLoad::waiting_cpu_millis.
+  /// What the workspace may run in all pools. The pool does not grow
+  /// for work beyond it, see DispatchLoad::waiting_cpu_millis.
   ResourceAmount cap = ResourceAmount::Unlimited();
 
   bool operator==(const WorkspaceLimits&) const = default;
--- a/libs/dispatch/src/backlog.cc
+++ b/libs/dispatch/src/backlog.cc
@@ -15,15 +15,6 @@
 /// Longer than any backlog; keeps the sums below far from an overflow.
 constexpr double kMaxDelayMs = 1e9;
 constexpr double kMaxCoreMs = 1e18;
-/// As in job_rank.cc: callers may send any estimate.
-constexpr Duration kMaxTaskTime = std::chrono::hours(24 * 30);
-
-Duration ExpectedTime(const StepSpec& step, Duration mean_run_time) {
-  const Duration estimate = std::min(step.estimate, kMaxTaskTime);
-  if (mean_run_time == Duration(0)) return estimate;
-  return (estimate + mean_run_time) / 2;
-}
-
 double CoreMs(const StepSpec& step, Duration run_time) {
   return static_cast<double>(step.size.cpu_millis) *
          static_cast<double>(ToMillis(run_time)) / 1'000;
--- a/libs/dispatch/src/job_rank.cc
+++ b/libs/dispatch/src/job_rank.cc
@@ -28,15 +28,6 @@
 /// More work than any fleet does in the longest time of a task.
 constexpr double kMaxCoreMs = 1e18;
 
-/// Returns the expected run time of a task of the step. The callers' estimates
-/// are rough; the average of an estimate and the measured mean is closer to the
-/// true run time than either.
-Duration ExpectedTime(const StepSpec& step, Duration mean_run_time) {
-  const Duration estimate = std::min(step.estimate, kMaxTaskTime);
-  if (mean_run_time == Duration(0)) return estimate;
-  return (estimate + mean_run_time) / 2;
-}
-
 /// Returns the expected core-milliseconds of the unfinished tasks.
 std::int64_t RemainingCoreMs(const TrackedJob& job, Duration mean_run_time) {
   double work = 0;
@@ -74,6 +65,12 @@
 
 }  // namespace
 
+Duration ExpectedTime(const StepSpec& step, Duration mean_run_time) {
+  const Duration estimate = std::min(step.estimate, kMaxTaskTime);
+  if (mean_run_time == Duration(0)) return estimate;
+  return (estimate + mean_run_time) / 2;
+}
+
 void RunTimes::Add(const QueueId& queue, Duration run_time) {
   const auto [it, is_new] = means_.emplace(queue, Mean{run_time, run_time});
   if (is_new) return;
--- a/libs/dispatch/src/job_rank.h
+++ b/libs/dispatch/src/job_rank.h
@@ -28,6 +28,12 @@
   std::map<QueueId, Mean> means_;
 };
 
+/// Returns the expected run time of a task of the step. `mean_run_time` is that
+/// of the queue's tasks, or zero when unknown. The callers' estimates are
+/// rough; the average of an estimate and the measured mean is closer to the
+/// true run time than either.
+Duration ExpectedTime(const StepSpec& step, Duration mean_run_time);
+
 /// Returns the expected run time of the longest chain of unfinished dependent
 /// steps. `mean_run_time` is that of the queue's tasks, or zero when unknown.
 Duration RemainingCriticalPath(const TrackedJob& job, Duration mean_run_time);
--- a/libs/dispatch/src/workspace_usage.cc
+++ b/libs/dispatch/src/workspace_usage.cc
@@ -13,9 +13,8 @@
 /// Workspaces get their parts of a pool over about this time, within which a
 /// job is of use to its caller.
 constexpr Duration kFairnessPeriod = std::chrono::seconds(5);
-/// A workspace yields to others once it has had its part this many times over.
-/// Parts are estimates over some seconds, and jobs that yield wait behind
-/// larger ones: yielding at once costs more jobs in time than it protects.
+/// A workspace yields to others once it has had its part this many times over:
+/// parts are estimates, and jobs that yield wait behind larger ones of others.
 constexpr double kToleratedParts = 2;
 constexpr double kMaxExcess = 15;
 
--- a/libs/jobs/src/place_ledger.cc
+++ b/libs/jobs/src/place_ledger.cc
@@ -79,7 +79,7 @@
   const auto it = places_.find(place);
   if (it == places_.end()) return false;
   WorkerRoom& room = Change(it->second.worker);
-  // The excess was measured over all tasks; the leaving one takes its share.
+  // The excess is that of all tasks together; the leaving one takes its share.
   const auto keep = [](double left, double whole) {
     return whole > 0 && left > 0 ? left / whole : 0.0;
   };
--- a/libs/workspaces/include/pomelomill/workspaces/resource_amount.h
+++ b/libs/workspaces/include/pomelomill/workspaces/resource_amount.h
@@ -70,4 +70,11 @@
       a, b, [](std::uint64_t x, std::uint64_t y) { return std::max(x, y); });
 }
 
+/// What a pool runs of a workspace and what waits there.
+struct WorkspaceUse {
+  ResourceAmount used;
+  /// Of tasks that are ready and not placed.
+  ResourceAmount waiting;
+};
+
 }  // namespace pomelomill
--- a/libs/workspaces/include/pomelomill/workspaces/share_ledger.h
+++ b/libs/workspaces/include/pomelomill/workspaces/share_ledger.h
@@ -34,28 +34,21 @@
   PoolShare share;
 };
 
-/// What a pool runs of a workspace and what waits there.
-struct WorkspaceUse {
-  ResourceAmount used;
-  /// Of tasks that are ready and not placed.
-  ResourceAmount waiting;
-};
-
 /// Divides the caps of workspaces between pools, as seen by the owner of one
 /// pool. The sum of the shares in a record never grows beyond the cap, and an
 /// owner starts tasks only within the share of its pool, so that all owners
 /// together stay within the cap without asking one another. Designed for one
-/// workspace whose queues peak by turns in different pools, under
-/// a cap that is below the sum of its peaks.
+/// workspace whose queues peak by turns in different pools, under a cap that is
+/// below the sum of its peaks.
 class ShareLedger {
  public:
   struct Options {
     /// A share that is not needed is kept for this long: the demand of a queue
     /// changes within a fraction of a second during a peak, and each change of
     /// a share is a write.
-    Duration surplus_retention = std::chrono::seconds(1);
+    Duration surplus_retention = std::chrono::seconds(2);
     /// Shares grow beyond what is needed by the cap divided by this number.
-    std::uint64_t step_divisor = 16;
+    std::uint64_t step_divisor = 8;
     /// A waiting pool keeps the part of its share in which nothing runs for
     /// this long: enough for several plans of its owner.
     Duration unusable_retention = std::chrono::milliseconds(250);
@@ -106,24 +99,15 @@
     /// Share of the pool when this owner took over.
     ResourceAmount inherited;
     std::optional<PoolShare> pending;
-    /// Since when the share has exceeded the need by more than two steps, or a
-    /// part of it could not be used while other pools wait.
+    /// Since when the share has exceeded the need by more than two steps, or
+    /// the pool has run nothing although it waits, as others do.
     std::optional<Instant> surplus_since;
   };
 
-  /// Other pools wait for more of the same cap.
-  struct Contention {
-    /// Waiting pools with this one; 0 when no other waits.
-    std::size_t pools = 0;
-    /// Whether this pool may exceed its equal part: it has run nothing for so
-    /// long that its tasks or gangs may be larger than the part. The others
-    /// come next, since each gives back as its tasks end.
-    bool has_turn = false;
-  };
-
-  Contention FindContention(const Entry& entry) const;
-  /// Returns an equal part of the cap.
-  ResourceAmount PartOf(const Entry& entry, const Contention& contention) const;
+  /// Returns the number of other pools that wait for more of the same cap.
+  std::size_t WaitingPools(const Entry& entry) const;
+  /// Returns the part of the cap that each of `pools` gets.
+  ResourceAmount EqualPart(const Entry& entry, std::size_t pools) const;
   PoolShare OwnShare(const Entry& entry) const;
   ResourceAmount Inherited(const Entry& entry) const;
   /// Returns the share of the pool when the sum of the shares exceeds the cap,
@@ -131,6 +115,11 @@
   /// has.
   ResourceAmount LimitToCap(const Entry& entry,
                             const ResourceAmount& amount) const;
+  /// Returns the share that a pool takes at most which needs more than it has
+  /// while `others` wait too.
+  ResourceAmount ContendedShare(Entry& entry, const ResourceAmount& used,
+                                const ResourceAmount& need, std::size_t others,
+                                Instant now) const;
   PoolShare Wanted(Entry& entry, const WorkspaceUse& use, Instant now) const;
 
   const PoolId pool_;
--- a/libs/workspaces/src/share_ledger.cc
+++ b/libs/workspaces/src/share_ledger.cc
@@ -8,7 +8,7 @@
 
 /// A waiting pool that runs nothing gives its part back first, and takes what
 /// is free after this many times as long.
-constexpr int kPartsOfTurn = 4;
+constexpr int kIdlePeriodsToExceedPart = 4;
 
 ResourceAmount SumOf(const ShareRecord& record) {
   ResourceAmount sum;
@@ -91,18 +91,17 @@
           limit(amount.gpus, sum.gpus, entry.cap.gpus)};
 }
 
-ShareLedger::Contention ShareLedger::FindContention(const Entry& entry) const {
-  std::vector<PoolId> waiting;
-  for (const auto& [pool, share] : entry.record)
-    if (pool != pool_ && share.is_waiting) waiting.push_back(pool);
-  if (waiting.empty()) return {};
-  return {.pools = waiting.size() + 1};
+std::size_t ShareLedger::WaitingPools(const Entry& entry) const {
+  return static_cast<std::size_t>(std::count_if(
+      entry.record.begin(), entry.record.end(), [this](const auto& it) {
+        return it.first != pool_ && it.second.is_waiting;
+      }));
 }
 
-ResourceAmount ShareLedger::PartOf(const Entry& entry,
-                                   const Contention& contention) const {
+ResourceAmount ShareLedger::EqualPart(const Entry& entry,
+                                      std::size_t pools) const {
   const auto divide = [&](std::uint64_t cap) {
-    return IsUnlimited(cap) ? cap : cap / contention.pools;
+    return IsUnlimited(cap) ? cap : cap / pools;
   };
   return {divide(entry.cap.cpu_millis), divide(entry.cap.memory_mb),
           divide(entry.cap.gpus)};
@@ -138,6 +137,25 @@
   return capped;
 }
 
+ResourceAmount ShareLedger::ContendedShare(Entry& entry,
+                                           const ResourceAmount& used,
+                                           const ResourceAmount& need,
+                                           std::size_t others,
+                                           Instant now) const {
+  if (!used.IsZero()) {
+    entry.surplus_since.reset();
+    // What exceeds the pool's part is given back as tasks end.
+    return Min(need, Max(EqualPart(entry, others + 1), used));
+  }
+  if (!entry.surplus_since) entry.surplus_since = now;
+  const Duration idle = now - *entry.surplus_since;
+  if (idle >= kIdlePeriodsToExceedPart * options_.unusable_retention)
+    return need;
+  // A part in which no task fits is of use to another pool.
+  if (idle >= options_.unusable_retention) return {};
+  return Min(need, EqualPart(entry, others + 1));
+}
+
 PoolShare ShareLedger::Wanted(Entry& entry, const WorkspaceUse& use,
                               Instant now) const {
   const PoolShare own = OwnShare(entry);
@@ -146,35 +164,22 @@
   const ResourceAmount need = used + LimitedPart(use.waiting, entry.cap);
   const ResourceAmount all = SumOf(entry.record);
   const ResourceAmount free = entry.cap - (all - own.amount);
-  Contention contention = FindContention(entry);
+  const std::size_t others = WaitingPools(entry);
   const ResourceAmount step = CombineAmounts(
       entry.cap, need, [this](std::uint64_t cap, std::uint64_t needed) {
         if (IsUnlimited(cap) || needed == 0) return std::uint64_t{0};
         return std::max(cap / options_.step_divisor, needed / 4);
       });
   if (!need.FitsInto(own.amount) || !all.FitsInto(entry.cap)) {
-    ResourceAmount target =
-        Min(need + (contention.pools == 0 ? step : ResourceAmount{}), free);
-    if (contention.pools == 0 || !used.IsZero()) {
-      entry.surplus_since.reset();
-    } else if (!entry.surplus_since) {
-      entry.surplus_since = now;
-    }
-    // Nothing has run for this long although the pool has a part.
-    const Duration idle =
-        entry.surplus_since ? now - *entry.surplus_since : Duration(0);
-    contention.has_turn = idle >= kPartsOfTurn * options_.unusable_retention;
-    if (contention.pools != 0 && !contention.has_turn) {
-      // What exceeds the pool's part is given back as tasks end.
-      target = Min(target, Max(PartOf(entry, contention), used));
-      // A part in which no task fits is of use to another pool.
-      if (idle >= options_.unusable_retention) target = {};
-    }
+    if (others == 0) entry.surplus_since.reset();
+    const ResourceAmount target =
+        others == 0 ? need + step
+                    : ContendedShare(entry, used, need, others, now);
     // What runs is not given back.
-    target = Max(target, Min(used, own.amount));
-    return {target, !need.FitsInto(target)};
+    const ResourceAmount share = Max(Min(target, free), Min(used, own.amount));
+    return {share, !need.FitsInto(share)};
   }
-  if (contention.pools != 0) {
+  if (others != 0) {
     entry.surplus_since.reset();
     return {need, false};
   }
--- a/tools/soak/key_ring.h
+++ b/tools/soak/key_ring.h
@@ -21,7 +21,7 @@
   std::string Current(std::size_t client);
   /// Withdraws the key of workspace `i` and gives it another.
   void Rotate(std::size_t i);
-  /// Breaks KEY when, after a while without faults, an entry takes a call with
+  /// Reports KEY when, after a while without faults, an entry takes a call with
   /// a withdrawn or unknown key, or rejects one with a present key. The
   /// addresses are those of the entries for callers.
   void Check(const std::vector<std::string>& entries);
--- a/tools/soak/record.h
+++ b/tools/soak/record.h
@@ -42,7 +42,7 @@
  private:
   void Write(const std::string& text);
   void Report(const std::string& rule, const std::string& text);
-  /// Breaks QUOTA when the workspace of the task runs more than its cap and a
+  /// Reports QUOTA when the workspace of the task runs more than its cap and a
   /// tenth before the start of the task, which is the one task more.
   void CheckCap(const std::string& task);
 
