--- a/libs/dispatch/test/backlog_test.cc
+++ b/libs/dispatch/test/backlog_test.cc
@@ -77,6 +77,66 @@
   CHECK(backlog->DrainTime() == Duration(0));
 }
 
+TEST_CASE("work that waits for its own earlier steps is no backlog") {
+  // Guards against rejections in a pool with idle cores.
+  Pool pool;
+  pool.Report();
+  JobSpec chain = MakeSpec(1, seconds(60));
+  for (std::uint32_t i = 0; i < 9; ++i) {
+    chain.steps.push_back(chain.steps[0]);
+    chain.steps.back().after = {i};
+  }
+  for (int i = 0; i < 4; ++i) pool.Add("a" + std::to_string(i), chain);
+  pool.Start();
+  const auto backlog = pool.dispatcher.backlog(kBegin);
+  REQUIRE(backlog);
+  CHECK(backlog->DrainTime() == Duration(0));
+}
+
+TEST_CASE("work beyond the limit of its workspace is no backlog") {
+  // Guards against rejections of all because one workspace is at its cap.
+  Pool pool;
+  pool.Report();
+  const WorkspaceId workspace("w");
+  constexpr std::uint64_t kAll = ResourceAmount::kUnlimited;
+  pool.dispatcher.SetWorkspaceLimits(workspace,
+                                     {.placed = {2'000, kAll, kAll}});
+  pool.dispatcher.AddJob(
+      {.id = JobId("a"),
+       .queue = kQueue,
+       .spec = std::make_shared<JobSpec>(MakeSpec(100, seconds(10))),
+       .workspace = workspace},
+      kBegin);
+  pool.Start();
+  const auto backlog = pool.dispatcher.backlog(kBegin);
+  REQUIRE(backlog);
+  CHECK(backlog->DrainTime() == Duration(0));
+}
+
+TEST_CASE("work of a workspace beyond its part delays no other") {
+  // Guards against rejections of all because one workspace sends too much.
+  Pool pool;
+  pool.Report();
+  const auto add = [&](const char* id, const char* workspace,
+                       std::uint32_t tasks) {
+    pool.dispatcher.AddJob(
+        {.id = JobId(id),
+         .queue = kQueue,
+         .spec = std::make_shared<JobSpec>(MakeSpec(tasks, seconds(10))),
+         .workspace = WorkspaceId(workspace)},
+        kBegin);
+  };
+  add("running", "much", 8);
+  pool.Start();
+  add("more", "much", 100);
+  add("other", "little", 8);
+  pool.Start();
+  const auto backlog = pool.dispatcher.backlog(kBegin);
+  REQUIRE(backlog);
+  // The 80 core-seconds of the other workspace, and half of those that run.
+  CHECK(backlog->DrainTime() == seconds(15));
+}
+
 TEST_CASE("the backlog of a job depends on its size") {
   // Guards against one delay for all: small jobs are served first.
   Pool pool;
--- a/libs/dispatch/test/workspace_test.cc
+++ b/libs/dispatch/test/workspace_test.cc
@@ -34,7 +34,7 @@
                        .queue = QueueId("q"),
                        .spec = spec,
                        .workspace = workspace},
-                      Instant());
+                      now);
   }
 
   /// Limits what is placed of the workspace, in cores.
@@ -46,11 +46,11 @@
   }
 
   std::size_t Start() {
-    const DispatchPlan plan = dispatcher.Plan(Instant(), 0);
+    const DispatchPlan plan = dispatcher.Plan(now, 0);
     for (const StartOrder& it : plan.starts) {
       running.push_back(it);
       dispatcher.OnStartResult(it.worker, it.key, it.run,
-                               StartOutcome::kStarted, ++clock, Instant());
+                               StartOutcome::kStarted, ++clock, now);
     }
     return plan.starts.size();
   }
@@ -72,13 +72,14 @@
     for (const StartOrder& it : running)
       report.running.push_back({.key = it.key, .run = it.run});
     report.ended = ended;
-    dispatcher.OnReport(WorkerId("w"), report, Instant(), 0);
+    dispatcher.OnReport(WorkerId("w"), report, now, 0);
   }
 
   Dispatcher dispatcher{DispatcherOptions{}};
   std::vector<StartOrder> running;
   std::vector<EndedTask> ended;
   std::int64_t clock = 0;
+  Instant now{};
 };
 
 }  // namespace
@@ -111,7 +112,7 @@
   CHECK(pool.Start() == 4);
 }
 
-TEST_CASE("work beyond a workspace's cap attracts no workers") {
+TEST_CASE("the pool does not grow for work beyond a workspace's cap") {
   Pool pool;
   pool.Limit(kA, 3, 5);
   pool.Add("a", kA, 10);
@@ -148,4 +149,34 @@
   CHECK(uses.at(kB).used.cpu_millis == 4'000);
 }
 
+TEST_CASE("a share is asked for only as far as the pool has resources") {
+  // Guards against capacity of other pools that is idle behind a share of work
+  // for which this pool has no workers.
+  Pool pool;
+  pool.Limit(kA, 5, 100);
+  pool.Add("b", kB, 12);
+  REQUIRE(pool.Start() == 12);
+  pool.Add("a", kA, 500);
+  CHECK(pool.Start() == 5);
+  const WorkspaceUse use = pool.dispatcher.workspace_uses()[kA];
+  CHECK(use.used.cpu_millis == 5'000);
+  CHECK(use.waiting.cpu_millis == 8'000);
+}
+
+TEST_CASE("weights hold after an idle day") {
+  // Guards against charges that overflow with the time since the last plan.
+  Pool pool;
+  pool.Add("first", kA, 1);
+  REQUIRE(pool.Start() == 1);
+  pool.End(1);
+  pool.now += std::chrono::hours(24);
+  pool.dispatcher.SetWorkspaceWeights({{kA, 1}, {kB, 9}});
+  pool.Add("a", kA, 30);
+  pool.Add("b", kB, 4);
+  CHECK(pool.Start() == 20);
+  const auto uses = pool.dispatcher.workspace_uses();
+  CHECK(uses.at(kA).used.cpu_millis == 16'000);
+  CHECK(uses.at(kB).used.cpu_millis == 4'000);
+}
+
 }  // namespace pomelomill
--- a/libs/jobserver/test/job_server_test.cc
+++ b/libs/jobserver/test/job_server_test.cc
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 
 #include "pomelomill/base/asio_timer_service.h"
 #include "pomelomill/http.h"
@@ -16,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kJob = "00000000000000aa";
+constexpr Duration kWatchWait = milliseconds(5);
 
 /// Job server on loopback, with a store whose responses the test chooses.
 class Server {
@@ -40,16 +43,24 @@
         done(read);
       });
     };
-    hooks_.store.watch_prefix = [this](const std::string&, Version after,
-                                       Duration wait,
+    hooks_.store.watch_prefix = [this](const std::string& prefix, Version after,
+                                       Duration,
                                        const StoreCallback<PrefixRead>& done) {
-      timers_.ScheduleAfter(wait, [done, after] {
-        done(PrefixRead{{}, after});
+      timers_.ScheduleAfter(kWatchWait, [this, prefix, after, done] {
+        PrefixRead read{{}, after};
+        if (prefix == "config" && !next_config.empty()) {
+          read.version = Version(after.value() + 1);
+          read.items.push_back({.key = "config",
+                                .value = std::exchange(next_config, {}),
+                                .version = read.version});
+        }
+        done(read);
       });
     };
     hooks_.store.commit = [this](const Transaction& transaction, Duration,
                                  const StoreCallback<CommitResult>& done) {
       for (const auto& it : transaction.writes) sent[it.key] = it.value;
+      if (is_store_silent) return;
       Later([this, done] {
         if (commit_error) return done(Unexpected(commit_error));
         done(CommitResult{.is_committed = true, .version = Version(10)});
@@ -61,8 +72,11 @@
     };
     hooks_.config_key = "config";
     hooks_.worker_prefix = "workers/";
-    hooks_.decode_config = [this](const std::string&) -> Result<FleetConfig> {
-      FleetConfig config{.revision = Revision(7), .max_body_bytes = 1'000};
+    hooks_.decode_config =
+        [this](const std::string& text) -> Result<FleetConfig> {
+      FleetConfig config{
+          .revision = Revision(text.empty() ? 7 : std::stoul(text)),
+          .max_body_bytes = 1'000};
       config.requires_keys = requires_keys;
       if (has_key) config.api_keys.emplace("secret", WorkspaceId("shop"));
       config.queues.push_back(
@@ -89,6 +103,7 @@
   /// configuration.
   void Start() {
     settings_.entry = EntryId("e");
+    settings_.requests.memory_mb = 8;
     settings_.zone = ZoneId("z");
     settings_.caller_address = "127.0.0.1:" + FreePort();
     settings_.ready_address = "127.0.0.1:" + FreePort();
@@ -111,11 +126,27 @@
     context_.run_for(milliseconds(50));
   }
 
+  void Run(Duration time) { context_.run_for(time); }
+
   HttpResponse Ask(const std::string& method, const std::string& path,
                    const std::string& body = "",
                    const std::string& host = "shop.example:80") {
     return Send(settings_.caller_address, method, path, body, host);
   }
+  /// Sends the request on `count` connections, which stay open.
+  void SendUnanswered(const std::string& request, int count) {
+    const asio::ip::tcp::endpoint address(
+        asio::ip::address_v4::loopback(),
+        static_cast<std::uint16_t>(std::stoul(settings_.caller_address.substr(
+            settings_.caller_address.find(':') + 1))));
+    for (int i = 0; i < count; ++i) {
+      auto& socket = callers_.emplace_back(context_);
+      socket.connect(address);
+      std::error_code ec;
+      asio::write(socket, asio::buffer(request), ec);
+      context_.run_for(std::chrono::microseconds(200));
+    }
+  }
   int Ready() {
     return Send(settings_.ready_address, "GET", "/ready", "", "x").status;
   }
@@ -129,12 +160,17 @@
     });
   }
 
+  /// Commits get no answer.
+  bool is_store_silent = false;
   bool has_config = true;
   bool requires_keys = false;
   Duration target_latency{};
   bool has_key = true;
   /// Sent with each request unless empty.
   std::string authorization;
+  /// Revision of the configuration that the watch delivers next; empty for
+  /// none.
+  std::string next_config;
   std::error_code commit_error;
   std::error_code read_error;
   std::map<std::string, std::string> values;
@@ -183,6 +219,7 @@
   PlatformHooks hooks_;
   JobServiceSettings settings_;
   std::optional<JobServer> server_;
+  std::vector<asio::ip::tcp::socket> callers_;
 };
 
 }  // namespace
@@ -344,6 +381,47 @@
   CHECK(server.HasEvent("status=401 reason=no key"));
 }
 
+TEST_CASE("a withdrawn key gets 401 on an open connection and for good") {
+  // Guards against a key that is checked once for each connection, and against
+  // an older configuration that brings it back.
+  Server server;
+  server.requires_keys = true;
+  server.authorization = "Bearer secret";
+  server.Start();
+  const std::string path = std::string("/quotes/") + kJob;
+  REQUIRE(server.Ask("POST", path, "good").status == 200);
+  server.has_key = false;
+  server.next_config = "8";
+  server.Run(milliseconds(50));
+  CHECK(server.Ask("POST", path, "good").status == 401);
+  CHECK(server.Ask("GET", path).status == 401);
+  server.has_key = true;
+  server.next_config = "6";
+  server.Run(milliseconds(50));
+  CHECK(server.Ask("POST", path, "good").status == 401);
+}
+
+TEST_CASE("callers do not keep checks of readiness out") {
+  // Guards against entries that all look unready because the store is slow and
+  // requests that wait for it fill the memory for requests.
+  Server server;
+  server.Start();
+  server.is_store_silent = true;
+  const auto make = [](std::size_t padding) {
+    return "POST /quotes/00000000000000aa HTTP/1.1\r\nHost: shop.example\r\n"
+           "X-Padding: " +
+           std::string(padding, 'x') + "\r\nContent-Length: 4\r\n\r\ngood";
+  };
+  // Small requests fill what the large ones leave.
+  server.SendUnanswered(make(15'000), 600);
+  server.SendUnanswered(make(1), 50);
+  server.Run(milliseconds(300));
+  CHECK(server.HasEvent("request-dropped reason=memory"));
+  CHECK(server.Ready() == 200);
+  CHECK(server.Metrics().find("pomelomill_request_memory_bytes") !=
+        std::string::npos);
+}
+
 TEST_CASE("a job is stored with the workspace of its key") {
   Server server;
   server.requires_keys = true;
--- a/libs/jobserver/test/workspace_test.cc
+++ b/libs/jobserver/test/workspace_test.cc
@@ -1,7 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <set>
+#include <map>
+#include <string>
 
 #include "job_world.h"
 
@@ -171,6 +172,42 @@
   CHECK(world.Violations().empty());
 }
 
+TEST_CASE("work that waits for a cap starts when the cap is removed") {
+  // Guards against a limit that outlives its cap.
+  JobWorld world({.workers_per_pool = 4, .run_time = seconds(1)});
+  // Less than one task.
+  world.PutCaps({{"a", 500}});
+  world.Advance(seconds(2));
+  world.Submit(0, "job", 0, ChainJob(1, 8), "a");
+  world.Advance(seconds(2));
+  CHECK(world.workers().runs().empty());
+  world.PutCaps({{"a", 0}});
+  world.Advance(seconds(5));
+  CHECK(world.Phase("job", 0) == "complete");
+}
+
+TEST_CASE("two pools with steady work share a cap") {
+  // Guards against the pool that came first and that replaces each task that
+  // ends before it gives its part back.
+  JobWorld world({.workers_per_pool = 4, .run_time = milliseconds(600)});
+  world.PutCaps({{"a", 8'000}});
+  world.Advance(seconds(2));
+  world.Submit(0, "first", 0, ChainJob(1, 400), "a");
+  world.Advance(seconds(3));
+  world.Submit(1, "second", 1, ChainJob(1, 400), "a");
+  world.Advance(seconds(8));
+  const Instant from = world.now();
+  world.Advance(seconds(5));
+  std::map<JobId, int> started;
+  for (const RunRecord& it : world.workers().runs())
+    if (it.began >= from) ++started[it.key.job];
+  CAPTURE(started[JobId("first")]);
+  CAPTURE(started[JobId("second")]);
+  CHECK(started[JobId("first")] * 2 >= started[JobId("second")]);
+  CHECK(started[JobId("second")] * 2 >= started[JobId("first")]);
+  CHECK(world.Violations("QUOTA").empty());
+}
+
 TEST_CASE(
     "accepted jobs run after their workspace has left the configuration") {
   JobWorld world({});
