--- a/review/stand_in_3/main.cc
+++ b/review/stand_in_3/main.cc
@@ -142,13 +142,6 @@
     return json.is_object() ? json.value("state", "") : "";
   }
 
-  /// The runner that runs a work item of the submission; null for none.
-  Runner* RunnerOf(const std::string& submission) {
-    for (const auto& it : runners_)
-      if (it->Runs(submission)) return it.get();
-    return nullptr;
-  }
-
   bool HasBegun(const std::string& submission) {
     return std::any_of(runners_.begin(), runners_.end(), [&](const auto& it) {
       return it->StartsOf(submission) > 0;
@@ -246,46 +239,6 @@
   });
 }
 
-/// LOST: a submission that lasts is given up because runners crash.
-void PlayCrashes(World& world, bool has_trouble) {
-  constexpr const char* kSubmission = "00000000000000f1";
-  constexpr int kCrashes = 3;
-  constexpr std::int64_t kCrashAfterMs = 3'000;
-  constexpr std::int64_t kDownMs = 1'500;
-  constexpr std::int64_t kTimeoutMs = 15'000;
-  constexpr std::int64_t kCalmMs = 12'000;
-  world.Submit(kSubmission,
-               {{"count", 1},
-                {"cpu", 1'000},
-                {"estimateMs", 1'000},
-                {"longRunning", true}},
-               "0");
-  for (int i = 0; i < kCrashes; ++i) {
-    Runner* runner = nullptr;
-    world.Await("the work item runs", kTimeoutMs, [&] {
-      runner = world.RunnerOf(kSubmission);
-      return runner != nullptr;
-    });
-    SleepMillis(kCrashAfterMs);
-    if (!has_trouble) continue;
-    runner->Crash();
-    SleepMillis(kDownMs);
-    runner->Boot();
-  }
-  world.record().Note("from here on all is calm");
-  SleepMillis(kCalmMs);
-  const std::string state = world.State(kSubmission);
-  if (state == "failed")
-    world.record().Broken("LOST", std::string(kSubmission) +
-                                      " is shown as failed, and no run of it "
-                                      "has ended failed");
-  if (world.RunnerOf(kSubmission) == nullptr)
-    world.record().Broken("LOST", std::string(kSubmission) +
-                                      " lasts and nothing of it runs after " +
-                                      std::to_string(kCalmMs) +
-                                      " ms of calm, on idle runners");
-}
-
 /// MIXED: submissions that no runner has begun are not counted as waiting.
 void PlayWaiting(World& world, bool has_trouble) {
   constexpr std::size_t kSubmissions = 10;
@@ -337,9 +290,7 @@
          const std::string& directory, bool has_trouble) {
   std::vector<std::string> kinds = Kinds(8);
   auto play = PlayLateStart;
-  if (name == "crashes") {
-    play = PlayCrashes;
-  } else if (name == "waiting") {
+  if (name == "waiting") {
     kinds = Kinds(12);
     kinds.front() = "b";
     play = PlayWaiting;
