review: a new owner runs scheduled work again that was done

Promise: TWICE, no start after a run has ended done whose end is taken note of.

Order of events: the owner of a pool with scheduled submissions is killed; the next one reads the runners' lists before it has made the occurrences, acknowledges the ends as untracked, and starts the work items again.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0 leaves the disruption out. Needs the build of the deploy file
 # and review/build-3.sh.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$folder/../stand_in_3/run.sh" waiting "$folder"
+exec "$folder/../stand_in_3/run.sh" scheduled "$folder"
--- a/review/stand_in_3/main.cc
+++ b/review/stand_in_3/main.cc
@@ -5,12 +5,15 @@
 // broken, 0 if it held and 2 if the case could not run.
 
 #include <algorithm>
+#include <cctype>
 #include <csignal>
 #include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "../../platform/stand_in/store.h"
@@ -34,9 +37,7 @@
 using Json = nlohmann::json;
 
 constexpr const char* kHost = "soak.example";
-constexpr const char* kPrefix = "/p/";
-constexpr const char* kPoolName = "soak";
-constexpr int kEntries = 4;
+constexpr std::size_t kMaxEntries = 4;
 constexpr std::int64_t kStartTimeoutMs = 20'000;
 /// Time budget of the callers of the sheets.
 constexpr std::int64_t kCallTimeoutMs = 3'000;
@@ -52,36 +53,106 @@
   const std::string reason_;
 };
 
+struct RunnerShape {
+  std::string kind = "a";
+  std::size_t pool = 0;
+};
+
+/// What a case is played on.
+struct Shape {
+  std::vector<RunnerShape> runners;
+  std::size_t entries = kMaxEntries;
+  std::size_t pools = 1;
+  /// Added to the 2 ms of the store of platform/stand_in.
+  std::int64_t store_delay_ms = 2;
+};
+
+std::string PoolName(std::size_t pool) { return "pool" + std::to_string(pool); }
+
+std::string Prefix(std::size_t pool) {
+  return "/p" + std::to_string(pool) + "/";
+}
+
+std::string Escape(const std::string& text) {
+  std::string escaped;
+  for (const char c : text) {
+    if (std::isalnum(static_cast<unsigned char>(c)) != 0) {
+      escaped += c;
+      continue;
+    }
+    constexpr std::string_view kHex = "0123456789ABCDEF";
+    const auto byte = static_cast<unsigned char>(c);
+    escaped += {'%', kHex[byte >> 4U], kHex[byte & 15U]};
+  }
+  return escaped;
+}
+
+/// Passes the calls of an entry on to the store, `delay_ms` later.
+class StoreRelay {
+ public:
+  StoreRelay(std::string store, std::int64_t delay_ms)
+      : store_(std::move(store)),
+        delay_ms_(delay_ms),
+        server_([this](const WireRequest& it) { return OnCall(it); }) {}
+
+  std::string address() const { return server_.address(); }
+
+ private:
+  WireReply OnCall(const WireRequest& request) const {
+    constexpr std::int64_t kTimeoutMs = 35'000;
+    SleepMillis(delay_ms_);
+    std::string target = request.path;
+    char separator = '?';
+    for (const auto& [name, value] : request.parameters) {
+      target += separator + name + "=" + Escape(value);
+      separator = '&';
+    }
+    // One thread serves one connection of the entry.
+    thread_local std::unique_ptr<WireClient> client;
+    if (client == nullptr) client = std::make_unique<WireClient>(store_);
+    WireReply reply =
+        client->Call(request.method, target, request.body, kTimeoutMs);
+    if (reply.status == 0) reply.ending = platform::stand_in::Ending::kClose;
+    return reply;
+  }
+
+  const std::string store_;
+  const std::int64_t delay_ms_;
+  WireServer server_;
+};
+
 /// Store, runners, entries and callers of one small deployment.
 class World {
  public:
-  explicit World(const std::string& directory)
-      : record_(directory + "/record.txt"),
-        store_(kEntries + 1, [this](const auto& it) { record_.Note(it); }),
-        line_(store_.address(kEntries)),
+  World(const std::string& directory, const Shape& shape)
+      : shape_(shape),
+        record_(directory + "/record.txt"),
+        store_(kMaxEntries + 1, [this](const auto& it) { record_.Note(it); }),
+        line_(store_.address(kMaxEntries)),
         machines_([this](const WireRequest& it) { return OnMachines(it); }) {
-    store_.PutConfig(kHost, kPrefix);
+    PutConfig();
   }
 
-  /// `kinds` has the kind of each runner.
-  void Start(const std::string& binary, const std::string& directory,
-             const std::vector<std::string>& kinds) {
+  void Start(const std::string& binary, const std::string& directory) {
     // Each port is in use before the next free one is looked for.
-    for (std::size_t i = 0; i < kinds.size(); ++i) {
+    for (const RunnerShape& it : shape_.runners) {
+      const std::size_t i = runners_.size();
       runners_.push_back(std::make_unique<Runner>(
           "i-" + std::to_string(i),
-          Runner::Options{{kinds[i], "r" + std::to_string(i / 4)}, kPoolName},
+          Runner::Options{{it.kind, "r" + std::to_string(i / 4)},
+                          PoolName(it.pool)},
           line_, record_));
       runners_.back()->Boot();
     }
-    for (int i = 0; i < kEntries; ++i) {
+    for (std::size_t i = 0; i < shape_.entries; ++i) {
+      relays_.push_back(std::make_unique<StoreRelay>(store_.address(i),
+                                                     shape_.store_delay_ms));
       entries_.push_back(std::make_unique<EntryProcess>(
-          i,
-          soak::EntryOptions{
-              .binary = binary,
-              .directory = directory,
-              .store_address = store_.address(static_cast<std::size_t>(i)),
-              .machines_address = machines_.address()},
+          static_cast<int>(i),
+          soak::EntryOptions{.binary = binary,
+                             .directory = directory,
+                             .store_address = relays_.back()->address(),
+                             .machines_address = machines_.address()},
           record_));
       entries_.back()->Launch();
     }
@@ -89,12 +160,15 @@
       return std::all_of(entries_.begin(), entries_.end(),
                          [](const auto& it) { return it->IsReady(); });
     });
-    // The owner calls all runners before the case begins.
-    Submit("00000000000000aa", {{"count", 1}, {"cpu", 100}}, "100");
-    Await("a first submission is complete", kStartTimeoutMs, [this] {
-      SleepMillis(kStatePauseMs);
-      return State("00000000000000aa") == "complete";
-    });
+    // The owners call all runners before the case begins.
+    for (std::size_t pool = 0; pool < shape_.pools; ++pool) {
+      const std::string id = "00000000000000a" + std::to_string(pool);
+      Submit(id, {{"count", 1}, {"cpu", 100}}, "100", {}, pool);
+      Await("a first submission is complete", kStartTimeoutMs, [&] {
+        SleepMillis(kStatePauseMs);
+        return State(id, pool) == "complete";
+      });
+    }
     SleepMillis(1'000);
   }
 
@@ -115,12 +189,13 @@
     record_.Note(what);
   }
 
-  /// Returns the status of the answer of an entry that is up.
+  /// Calls an entry that is up.
   WireReply Call(const std::string& method, const std::string& target,
-                 const std::string& body = "", std::size_t entry = kEntries) {
-    for (std::size_t i = 0; entry == kEntries && i < entries_.size(); ++i)
+                 const std::string& body = "") {
+    std::size_t entry = 0;
+    for (std::size_t i = 0; i < entries_.size(); ++i)
       if (entries_[i]->pid() != 0) entry = i;
-    WireReply reply = WireClient(entries_.at(entry)->callers())
+    WireReply reply = WireClient(entries_[entry]->callers())
                           .Call(method, target, body, kCallTimeoutMs);
     record_.Note("entry-" + std::to_string(entry) + ": " + method + " " +
                  target + " -> " + std::to_string(reply.status) + " " +
@@ -128,16 +203,19 @@
     return reply;
   }
 
-  void Submit(const std::string& id, Json step, const std::string& spec) {
+  /// `fields` are further fields of the submission.
+  void Submit(const std::string& id, Json step, const std::string& spec,
+              Json fields = {}, std::size_t pool = 0) {
     step["memMb"] = 64;
-    const Json body = {{"spec", spec}, {"steps", Json::array({step})}};
-    const int status = Call("POST", kPrefix + id, body.dump()).status;
+    fields["spec"] = spec;
+    fields["steps"] = Json::array({step});
+    const int status = Call("POST", Prefix(pool) + id, fields.dump()).status;
     record_.Attempted(id, status);
     if (status != 200) throw CouldNotRun("submission not accepted");
   }
 
-  std::string State(const std::string& id) {
-    const WireReply reply = Call("GET", kPrefix + id);
+  std::string State(const std::string& id, std::size_t pool = 0) {
+    const WireReply reply = Call("GET", Prefix(pool) + id);
     const Json json = Json::parse(reply.body, nullptr, false);
     return json.is_object() ? json.value("state", "") : "";
   }
@@ -148,29 +226,64 @@
     });
   }
 
-  /// Ends the entry that owns the pool, for good.
+  /// Ends the entry that owns the most pools, for good.
   void KillOwner() {
-    const std::string owner =
-        line_.Get(std::string("cluster/owners/") + kPoolName);
-    for (std::size_t i = 0; i < entries_.size(); ++i) {
-      if (owner.find("\"entry-" + std::to_string(i) + "\"") ==
-          std::string::npos)
-        continue;
-      entries_[i]->Kill();
-      return;
+    std::vector<std::size_t> owned(entries_.size());
+    for (std::size_t pool = 0; pool < shape_.pools; ++pool) {
+      const std::string owner = line_.Get("cluster/owners/" + PoolName(pool));
+      record_.Note("owner of " + PoolName(pool) + ": " + owner);
+      for (std::size_t i = 0; i < entries_.size(); ++i) {
+        if (owner.find("\"entry-" + std::to_string(i) + "\"") !=
+            std::string::npos)
+          ++owned[i];
+      }
     }
-    throw CouldNotRun("the pool has no owner");
+    const auto most = std::max_element(owned.begin(), owned.end());
+    if (*most == 0) throw CouldNotRun("no pool has an owner");
+    entries_[static_cast<std::size_t>(most - owned.begin())]->Kill();
   }
 
  private:
+  /// The operator's configuration: one queue for each pool.
+  void PutConfig() {
+    Json routes = Json::array();
+    Json services = Json::array();
+    for (std::size_t pool = 0; pool < shape_.pools; ++pool) {
+      routes.push_back({{"name", "queue" + std::to_string(pool)},
+                        {"host", kHost},
+                        {"prefix", Prefix(pool)},
+                        {"kind", "unsafe"},
+                        {"timeoutMs", 3'000},
+                        {"targetLatencyMs", 600},
+                        {"priority", 0},
+                        {"service", PoolName(pool)},
+                        {"attempts", 4},
+                        {"stretch", 2}});
+      services.push_back({{"name", PoolName(pool)},
+                          {"healthPath", "/health"},
+                          {"maxConns", 64},
+                          {"protocol", "h1"},
+                          {"tls", false},
+                          {"enforcesCapacity", false},
+                          {"spare", false}});
+    }
+    line_.Put("op/config",
+              {{"version", 1},
+               {"routes", routes},
+               {"services", services},
+               {"limits", {{"maxBodyBytes", 262'144}}}},
+              0);
+  }
+
   WireReply OnMachines(const WireRequest& request) {
     if (request.method != "GET")
       return {.status = 409, .body = R"({"reason":"busy"})"};
     Json machines = Json::array();
-    for (const auto& it : runners_) {
+    for (std::size_t i = 0; i < runners_.size(); ++i) {
+      const auto& it = runners_[i];
       machines.push_back(
           {{"machine", "m-" + it->id()},
-           {"pool", kPoolName},
+           {"pool", PoolName(shape_.runners[i].pool)},
            {"state", "up"},
            {"zone", "z0"},
            {"labels", {"a", "r0"}},
@@ -181,16 +294,45 @@
                 Json{{"machines", machines}, {"nextToken", nullptr}}.dump()};
   }
 
+  const Shape shape_;
   Record record_;
   Store store_;
   StoreLine line_;
+  std::vector<std::unique_ptr<StoreRelay>> relays_;
   std::vector<std::unique_ptr<Runner>> runners_;
   WireServer machines_;
   std::vector<std::unique_ptr<EntryProcess>> entries_;
 };
 
-std::vector<std::string> Kinds(std::size_t runners) {
-  return std::vector<std::string>(runners, "a");
+/// TWICE: work items of scheduled submissions that run, or are done, when a
+/// pool passes from one owner to the next.
+void PlayScheduled(World& world, bool has_trouble) {
+  constexpr std::size_t kSubmissions = 16;
+  constexpr const char* kDuration = "800";
+  constexpr int kOccurrences = 14;
+  constexpr std::int64_t kIntervalMs = 1'000;
+  constexpr std::int64_t kFirstAfterMs = 2'000;
+  constexpr std::int64_t kKillAfterMs = 4'500;
+  constexpr std::int64_t kTimeoutMs = 50'000;
+  const std::int64_t first_at =
+      platform::stand_in::UnixMillis() + kFirstAfterMs;
+  std::vector<std::string> submissions;
+  for (std::size_t i = 0; i < kSubmissions; ++i) {
+    submissions.push_back("0000000000000d" + std::to_string(10 + i));
+    world.Submit(submissions.back(),
+                 {{"count", 2}, {"cpu", 1'000}, {"estimateMs", 800}}, kDuration,
+                 {{"repeatCount", kOccurrences},
+                  {"startAtMs", first_at + 50 * static_cast<std::int64_t>(i)},
+                  {"intervalMs", kIntervalMs}});
+  }
+  SleepMillis(first_at + kKillAfterMs - platform::stand_in::UnixMillis());
+  if (has_trouble) world.KillOwner();
+  world.Await("all submissions are complete", kTimeoutMs, [&] {
+    SleepMillis(3 * kStatePauseMs);
+    return std::all_of(
+        submissions.begin(), submissions.end(),
+        [&](const auto& it) { return world.State(it) == "complete"; });
+  });
 }
 
 /// TWICE: an order to start that is carried out late, by the next boot of its
@@ -265,7 +407,7 @@
     const auto waiting = static_cast<std::size_t>(
         std::count_if(submissions.begin(), submissions.end(),
                       [&](const auto& it) { return !world.HasBegun(it); }));
-    const WireReply reply = world.Call("GET", kPrefix);
+    const WireReply reply = world.Call("GET", Prefix(0));
     const Json json = Json::parse(reply.body, nullptr, false);
     if (reply.status == 200 &&
         json.value("waiting", std::size_t{0}) * 2 < waiting)
@@ -288,21 +430,27 @@
 
 int Play(const std::string& name, const std::string& binary,
          const std::string& directory, bool has_trouble) {
-  std::vector<std::string> kinds = Kinds(8);
+  Shape shape;
   auto play = PlayLateStart;
-  if (name == "waiting") {
-    kinds = Kinds(12);
-    kinds.front() = "b";
+  if (name == "late-start") {
+    shape.runners.resize(8);
+  } else if (name == "waiting") {
+    shape.runners.resize(12);
+    shape.runners.front().kind = "b";
     play = PlayWaiting;
-  } else if (name != "late-start") {
+  } else if (name == "scheduled") {
+    shape.runners.resize(12);
+    shape.store_delay_ms = 0;
+    play = PlayScheduled;
+  } else {
     throw CouldNotRun("no such case: " + name);
   }
   // Not destroyed: the threads of the stand-ins run until the process ends.
-  World& world = *new World(directory);
+  World& world = *new World(directory, shape);
   world.record().Note(has_trouble ? "with the disruption"
                                   : "without the disruption");
   try {
-    world.Start(binary, directory, kinds);
+    world.Start(binary, directory);
     play(world, has_trouble);
   } catch (...) {
     world.EndEntries();
