--- a/review/stand_in_3/runner.cc
+++ b/review/stand_in_3/runner.cc
@@ -22,9 +22,9 @@
 using platform::stand_in::WireReply;
 using Json = nlohmann::json;
 
-/// `holdMaxMs`, `stopGraceMs` and `heartbeatMs` of the sheet of Banderuole, and
-/// the three heartbeats after which an entry is removed.
-constexpr std::int64_t kHoldMaxMs = 10'000;
+/// `holdMaxMs` and `heartbeatMs` of cenovka-mill, a stop within its
+/// `stopGraceMs`, and the three heartbeats after which an entry is removed.
+constexpr std::int64_t kHoldMaxMs = 6'000;
 constexpr std::int64_t kStopMs = 200;
 constexpr std::int64_t kHeartbeatMs = 1'500;
 constexpr std::int64_t kEntryTtlMs = 3 * kHeartbeatMs;
