Take in reports of timed jobs before their occurrences are planned

Cause: only Dispatcher::Plan() created the occurrences of a timed job. A new owner opens the links to the workers when it has read the jobs; a report that came before the next plan named tasks that did not exist yet. Such an end was taken for one that no job needs and acknowledged, such a run was stopped as unknown; the plan then created the tasks and started them. The same happened without any race when the former owner's clock was ahead, so that an occurrence that it had started was not due yet for its successor.

Change: a worker's report of a task creates the occurrences up to that of the task. What is not due by this owner's clock exists from then on, but no further task of it starts before its due time.

Ruled out: creating the occurrences when a job is added closes the race only for clocks that agree; planning once before the links are opened leaves the same gap. Not acknowledging an end whose task is unknown holds up all later ends of the worker, and is not needed once no task of an unfinished job is unknown.

Related paths, read: jobs that come by the watch after the load are accepted after the pool was acquired, so no worker can report them before; ends of jobs whose record cannot be decoded are still acknowledged (open).

--- a/libs/dispatch/include/pomelomill/dispatch/job_spec.h
+++ b/libs/dispatch/include/pomelomill/dispatch/job_spec.h
@@ -81,6 +81,10 @@
     return occurrences == 0 ? 1 : occurrences;
   }
   bool is_timed() const { return occurrences != 0; }
+  /// Unix time in milliseconds at which the occurrence of a timed job is due.
+  std::int64_t DueMs(std::uint32_t occurrence) const {
+    return first_due_ms + occurrence * ToMillis(interval);
+  }
 };
 
 /// Identifies a task of a job. The text form is "JOB.OCCURRENCE.STEP.INDEX".
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -66,12 +66,17 @@
 
 void Dispatcher::Impl::CreateDueOccurrences(TrackedJob& job, WallMs wall_ms) {
   const JobSpec& spec = *job.spec;
-  while (job.next_occurrence < spec.total_occurrences()) {
-    if (spec.is_timed()) {
-      const std::int64_t due =
-          spec.first_due_ms + job.next_occurrence * ToMillis(spec.interval);
-      if (wall_ms < due) return;
-    }
+  while (job.due_occurrences < spec.total_occurrences()) {
+    if (spec.is_timed() && wall_ms < spec.DueMs(job.due_occurrences)) break;
+    InvalidateCachedValues(job);
+    ++job.due_occurrences;
+  }
+  CreateOccurrences(job, job.due_occurrences);
+}
+
+void Dispatcher::Impl::CreateOccurrences(TrackedJob& job, std::uint32_t end) {
+  const JobSpec& spec = *job.spec;
+  while (job.next_occurrence < end) {
     InvalidateCachedValues(job);
     const std::uint32_t number = job.next_occurrence++;
     OccurrenceState state = MakeOccurrence(job, number);
--- a/libs/dispatch/src/dispatcher_crashes.cc
+++ b/libs/dispatch/src/dispatcher_crashes.cc
@@ -178,6 +178,7 @@
   for (const TaskKey& key : tasks_to_run_alone_) {
     plan.examined += workers_.all().size();
     TrackedJob& job = *FindJob(key.job);
+    if (key.occurrence >= job.due_occurrences) continue;
     TaskState& task = *FindTask(job, key);
     const StepSpec& step = job.spec->steps[key.step];
     if (!MayStart(job, task, now, plan) || AwaitsTerms(job, step, task) ||
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -134,6 +134,13 @@
   /// Frees the tasks of a finished job once none of them is placed.
   void FreeTasksOfEndedJob(TrackedJob& job);
   void CreateDueOccurrences(TrackedJob& job, WallMs wall_ms);
+  /// Creates the tasks of the occurrences before `end` that do not exist yet.
+  void CreateOccurrences(TrackedJob& job, std::uint32_t end);
+  /// Returns the task that a worker reports; null when its job is unknown, its
+  /// occurrence is finished or there is no such task. An occurrence that is not
+  /// due by this owner's clock exists from then on: an earlier owner, whose
+  /// clock may be ahead, has started it.
+  TaskState* FindReportedTask(const TaskKey& key);
 
   /// Assigns the task to the worker and reserves the capacity for it.
   void Place(TrackedJob& job, const TaskKey& key, TaskState& task,
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -32,10 +32,8 @@
   for (const auto& [id, job] : unfinished_jobs_) {
     if (!job->spec->is_timed()) continue;
     CreateDueOccurrences(*job, wall_ms);
-    if (job->next_occurrence < job->spec->total_occurrences()) {
-      const std::int64_t due_ms =
-          job->spec->first_due_ms +
-          job->next_occurrence * ToMillis(job->spec->interval);
+    if (job->due_occurrences < job->spec->total_occurrences()) {
+      const std::int64_t due_ms = job->spec->DueMs(job->due_occurrences);
       PlanNoLaterThan(plan, now + std::chrono::milliseconds(due_ms - wall_ms));
     }
   }
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -105,11 +105,22 @@
   }
 }
 
+TaskState* Dispatcher::Impl::FindReportedTask(const TaskKey& key) {
+  TrackedJob* const job = FindJob(key.job);
+  if (job == nullptr) return nullptr;
+  const JobSpec& spec = *job->spec;
+  const bool is_valid = key.occurrence < spec.total_occurrences() &&
+                        key.step < spec.steps.size() &&
+                        key.index < spec.steps[key.step].tasks;
+  if (is_valid && !job->is_final()) CreateOccurrences(*job, key.occurrence + 1);
+  return FindTask(*job, key);
+}
+
 void Dispatcher::Impl::OnEnd(const WorkerId& id, PoolWorker& worker,
                              const EndedTask& end, Instant now,
                              WallMs wall_ms) {
+  TaskState* const task = FindReportedTask(end.key);
   TrackedJob* const job = FindJob(end.key.job);
-  TaskState* const task = job == nullptr ? nullptr : FindTask(*job, end.key);
   RecordEvent("task-end", end.key, end.run, id,
               std::string(ToText(end.outcome)) + ", end " +
                   std::to_string(end.number) +
@@ -213,9 +224,8 @@
 void Dispatcher::Impl::OnRunning(const WorkerId& id, PoolWorker& worker,
                                  const RunningTask& running,
                                  std::int64_t clock_ms) {
+  TaskState* const task = FindReportedTask(running.key);
   TrackedJob* const job = FindJob(running.key.job);
-  TaskState* const task =
-      job == nullptr ? nullptr : FindTask(*job, running.key);
   if (task == nullptr) {
     worker.untracked_runs.emplace(running.key, running.run);
     RecordEvent("task-stray", running.key, running.run, id, "task not tracked");
--- a/libs/dispatch/src/job_table.cc
+++ b/libs/dispatch/src/job_table.cc
@@ -9,6 +9,7 @@
 std::vector<ReadyStep> FindReadySteps(const TrackedJob& job) {
   std::vector<ReadyStep> ready;
   for (const auto& [number, occurrence] : job.occurrences) {
+    if (number >= job.due_occurrences) break;
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       if (occurrence.steps[s].waiting() > 0 && IsReady(job, occurrence, s))
         ready.push_back({number, s});
--- a/libs/dispatch/src/job_table.h
+++ b/libs/dispatch/src/job_table.h
@@ -131,10 +131,14 @@
   Instant added_at{};
   std::int64_t ended_wall_ms = 0;
   Instant ended_at{};
-  /// Occurrences that are due and not finished, by number.
+  /// Occurrences that are due, or were started by an earlier owner, and are not
+  /// finished, by number.
   std::map<std::uint32_t, OccurrenceState> occurrences;
-  /// Number of the next occurrence that becomes due.
+  /// Number of the next occurrence to be created.
   std::uint32_t next_occurrence = 0;
+  /// Number of occurrences that are due by this owner's clock. No task of a
+  /// later one is started.
+  std::uint32_t due_occurrences = 0;
   std::uint32_t done_occurrences = 0;
   /// Number of tasks that are placed on a worker.
   std::uint32_t placed = 0;
@@ -160,8 +164,8 @@
 bool IsReady(const TrackedJob& job, const OccurrenceState& occurrence,
              std::size_t step);
 
-/// Returns the ready steps, ordered by occurrence and step. The result is
-/// cached in the job.
+/// Returns the ready steps of the occurrences that are due, ordered by
+/// occurrence and step. The result is cached in the job.
 const std::vector<ReadyStep>& ReadySteps(TrackedJob& job);
 
 /// Returns the progress of the job as it is to be stored.
--- a/libs/jobserver/test/job_world.cc
+++ b/libs/jobserver/test/job_world.cc
@@ -194,9 +194,12 @@
   settings.peer_address = name + ":2";
   CoordinatorHooks coordinator_hooks;
   coordinator_hooks.publishes_backlogs = true;
-  coordinator_hooks.wall_ms = [this] {
-    return ToMillis(time_.Now().time_since_epoch());
-  };
+  const auto offset = options_.wall_offsets.find(i);
+  coordinator_hooks.wall_ms =
+      [this, ahead = offset == options_.wall_offsets.end() ? Duration(0)
+                                                           : offset->second] {
+        return ToMillis(time_.Now().time_since_epoch() + ahead);
+      };
   coordinator_hooks.event = [this, name](std::string_view part,
                                          std::string_view event,
                                          const std::vector<EventField>& all) {
--- a/libs/jobserver/test/job_world.h
+++ b/libs/jobserver/test/job_world.h
@@ -36,6 +36,10 @@
     /// answer its peers, so that entries can be overloaded.
     bool can_overload = false;
 
+    /// What the time of day on each entry's machine is ahead of the true one;
+    /// 0 for entries that are not named.
+    std::map<std::size_t, Duration> wall_offsets;
+
     /// Whether the store lists a worker that starts again at once, not up to a
     /// heartbeat later.
     bool lists_restarts_at_once = false;
