Count a job as begun only once a worker has begun a task of it

Cause: one flag, set when a task was placed, stood for the start of a job. It stayed when the start was refused, was lost with its worker, or was never sent. The phase of the job was stored by it, so that the next owner read it back.

Change: a job has begun when a worker answers that it has started a task, lists a run or lists an end. The placement has a flag of its own, for the measured delay of starts.

Stored records: the phase "running" has the field "begun" beside it. A record without it, of an earlier version, counts as begun only if a finished task, a failed run or a checkpoint proves it; a crashed run does not, it may be a start without an answer. A job of such a record that had begun, and of which nothing is stored, counts as waiting again until a worker lists a run of it.

Ruled out: to take the flag back when a task is taken off its worker; a takeover would bring it back from the store, and another task may have begun meanwhile.

--- a/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
+++ b/libs/dispatch/include/pomelomill/dispatch/dispatcher.h
@@ -348,11 +348,13 @@
   /// worker and whose retention time has passed, and returns their ids.
   std::vector<JobId> TakeExpiredJobs(Instant now);
 
-  /// Returns the phase that may be shown to callers, which is final only once
-  /// it is stored; nullopt when the job is unknown.
+  /// Returns the phase that may be shown to callers; nullopt when the job is
+  /// unknown. It is kRunning from the first run that a worker is known to have
+  /// begun, see WaitingJobs(), and final only once that is stored.
   std::optional<JobPhase> ShownPhase(const JobId& job) const;
-  /// Returns the number of accepted jobs of the queue of which no task has
-  /// started. Timed jobs count from their first due time on.
+  /// Returns the number of accepted jobs of the queue of which no worker is
+  /// known to have begun a task: a start that was refused, or that has no
+  /// answer yet, does not count. Timed jobs count from their first due time on.
   std::uint32_t WaitingJobs(const QueueId& queue) const;
   DispatchLoad load() const;
   /// Returns the work that ranks before a job that arrives now, computed at
--- a/libs/dispatch/include/pomelomill/dispatch/job_progress.h
+++ b/libs/dispatch/include/pomelomill/dispatch/job_progress.h
@@ -40,6 +40,7 @@
     bool operator==(const Task&) const = default;
   };
 
+  /// kRunning once a worker has begun a run of some task.
   JobPhase phase = JobPhase::kQueued;
   /// Only the tasks that are finished, have failed or crashed runs or have a
   /// checkpoint.
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -50,7 +50,7 @@
   job.ended_wall_ms = added.progress.ended_ms;
   job.is_inherited = added.is_inherited;
   job.restored = added.progress.tasks;
-  job.has_started = job.phase != JobPhase::kQueued;
+  job.was_placed = job.has_begun = job.phase != JobPhase::kQueued;
   job.added_at = now;
   cached_waiting_jobs_.reset();
   if (job.is_final()) {
@@ -169,8 +169,12 @@
   StepState& state = job.occurrences.at(key.occurrence).steps[key.step];
   ++state.placed;
   if (state.waiting() == 0) job.cached_ready_steps.reset();
-  if (!job.has_started) cached_waiting_jobs_.reset();
-  job.has_started = true;
+  job.was_placed = true;
+}
+
+void Dispatcher::Impl::MarkBegun(TrackedJob& job) {
+  if (std::exchange(job.has_begun, true)) return;
+  cached_waiting_jobs_.reset();
 }
 
 void Dispatcher::Impl::Unplace(TrackedJob& job, const TaskKey& key,
@@ -261,7 +265,7 @@
   if (!cached_waiting_jobs_) {
     cached_waiting_jobs_.emplace();
     for (const auto& [id, job] : unfinished_jobs_) {
-      if (job->has_started) continue;
+      if (job->has_begun) continue;
       if (!job->spec->is_timed() || !job->occurrences.empty())
         ++(*cached_waiting_jobs_)[job->queue];
     }
@@ -418,7 +422,7 @@
   const TrackedJob* const it = impl_->FindJob(job);
   if (it == nullptr) return std::nullopt;
   if (IsFinal(it->stored_phase)) return it->stored_phase;
-  return it->has_started ? JobPhase::kRunning : JobPhase::kQueued;
+  return it->has_begun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
 std::uint32_t Dispatcher::WaitingJobs(const QueueId& queue) const {
--- a/libs/dispatch/src/dispatcher_impl.h
+++ b/libs/dispatch/src/dispatcher_impl.h
@@ -129,6 +129,8 @@
   void MarkDirty(TrackedJob& job);
   /// Drops the cached values that are derived from the job's tasks.
   void InvalidateCachedValues(TrackedJob& job);
+  /// A worker has begun a run of some task of the job.
+  void MarkBegun(TrackedJob& job);
   /// Moves the job to a final phase; its tasks are stopped by the next plan.
   void EndJob(TrackedJob& job, JobPhase phase, Instant now, WallMs wall_ms);
   /// Frees the tasks of a finished job once none of them is placed.
@@ -136,10 +138,10 @@
   void CreateDueOccurrences(TrackedJob& job, WallMs wall_ms);
   /// Creates the tasks of the occurrences before `end` that do not exist yet.
   void CreateOccurrences(TrackedJob& job, std::uint32_t end);
-  /// Returns the task that a worker reports; null when its job is unknown, its
-  /// occurrence is finished or there is no such task. An occurrence that is not
-  /// due by this owner's clock exists from then on: an earlier owner, whose
-  /// clock may be ahead, has started it.
+  /// Returns the task of which a worker reports a run; null when its job is
+  /// unknown, its occurrence is finished or there is no such task. The job has
+  /// begun. An occurrence that is not due by this owner's clock exists from
+  /// then on: an earlier owner, whose clock may be ahead, has started it.
   TaskState* FindReportedTask(const TaskKey& key);
 
   /// Assigns the task to the worker and reserves the capacity for it.
--- a/libs/dispatch/src/dispatcher_plan.cc
+++ b/libs/dispatch/src/dispatcher_plan.cc
@@ -286,7 +286,7 @@
                              TaskState& task, PoolWorker& worker,
                              std::uint32_t run, Instant now,
                              DispatchPlan& plan) {
-  if (timing_hook_ && !job.has_started)
+  if (timing_hook_ && !job.was_placed)
     timing_hook_(DispatchTiming::kStartDelay, job.queue, now - job.added_at);
   Place(job, key, task, worker, run, RunPhase::kStarting);
   ChargeStart(job, job.spec->steps[key.step], now);
--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -112,7 +112,9 @@
   const bool is_valid = key.occurrence < spec.total_occurrences() &&
                         key.step < spec.steps.size() &&
                         key.index < spec.steps[key.step].tasks;
-  if (is_valid && !job->is_final()) CreateOccurrences(*job, key.occurrence + 1);
+  if (!is_valid) return nullptr;
+  MarkBegun(*job);
+  if (!job->is_final()) CreateOccurrences(*job, key.occurrence + 1);
   return FindTask(*job, key);
 }
 
@@ -297,6 +299,7 @@
   RecordEvent("task-start-answer", key, run, worker, ToText(outcome));
   TrackedJob* const job = FindJob(key.job);
   TaskState* const task = job == nullptr ? nullptr : FindTask(*job, key);
+  if (job != nullptr && outcome == StartOutcome::kStarted) MarkBegun(*job);
   if (task == nullptr || !task->is_placed() || task->run != run ||
       task->worker != worker)
     return;
--- a/libs/dispatch/src/job_progress.cc
+++ b/libs/dispatch/src/job_progress.cc
@@ -1,5 +1,6 @@
 #include "pomelomill/dispatch/job_progress.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -19,6 +20,18 @@
 /// Rows without crashed runs, and all rows of earlier versions, end before it.
 constexpr std::size_t kCrashedRunsColumn = 6;
 
+/// Whether a record in the phase kRunning proves that a task has run. Versions
+/// that write no "begun" also stored that phase for starts that were refused;
+/// a crashed run may be such a start.
+bool IsProvenBegun(const JobProgress& progress, const Json& json) {
+  if (json.value("begun", false)) return true;
+  return std::any_of(progress.tasks.begin(), progress.tasks.end(),
+                     [](const JobProgress::Task& it) {
+                       return it.is_done || !it.failed_runs.empty() ||
+                              !it.checkpoint.empty();
+                     });
+}
+
 }  // namespace
 
 const char* ToText(JobPhase phase) {
@@ -40,6 +53,7 @@
 std::string EncodeJobProgress(const JobProgress& progress) {
   Json json = Json::object();
   json["phase"] = ToText(progress.phase);
+  if (progress.phase == JobPhase::kRunning) json["begun"] = true;
   if (progress.ended_ms != 0) json["ended"] = progress.ended_ms;
   if (!progress.tasks.empty()) {
     Json& rows = json["tasks"] = Json::array();
@@ -86,6 +100,8 @@
             JsonInteger<std::uint32_t>(it.at(kCrashedRunsColumn + 1));
       }
     }
+    if (progress.phase == JobPhase::kRunning && !IsProvenBegun(progress, json))
+      progress.phase = JobPhase::kQueued;
     return progress;
   } catch (const Json::exception&) {
     return Unexpected(DispatchError::kMalformedRecord);
--- a/libs/dispatch/src/job_table.cc
+++ b/libs/dispatch/src/job_table.cc
@@ -73,7 +73,7 @@
   progress.phase = job.phase;
   progress.ended_ms = job.ended_wall_ms;
   if (job.is_final()) return progress;
-  if (progress.phase == JobPhase::kQueued && job.has_started)
+  if (progress.phase == JobPhase::kQueued && job.has_begun)
     progress.phase = JobPhase::kRunning;
   // Tasks of finished occurrences, and of occurrences that are not due yet.
   for (const JobProgress::Task& it : job.restored) {
--- a/libs/dispatch/src/job_table.h
+++ b/libs/dispatch/src/job_table.h
@@ -118,14 +118,18 @@
   WorkspaceId workspace;
   /// See AddedJob::terms.
   std::optional<QueueTerms> terms;
-  /// Phase when the job was added, or the final phase; `has_started` tells
-  /// whether any of its tasks was started.
+  /// Phase when the job was added, or the final phase; `has_begun` tells
+  /// whether any of its tasks has run.
   JobPhase phase = JobPhase::kQueued;
   /// Phase when the job was added, or the final phase once it is stored.
   JobPhase stored_phase = JobPhase::kQueued;
   bool is_inherited = false;
   bool is_dirty = false;
-  bool has_started = false;
+  /// A worker has begun a run of some task, by its answer to the start or its
+  /// report. A start that was refused, or has no answer yet, does not count.
+  bool has_begun = false;
+  /// Some task was placed on a worker, see DispatchTiming::kStartDelay.
+  bool was_placed = false;
   /// When this owner added the job; for an inherited job, later than its
   /// acceptance.
   Instant added_at{};
