Log until when a new owner waits for silent workers, and when that ends

Cause: the log of a takeover showed which workers were lost and when, but not until when the owner meant to wait, what that bound followed from, nor when its inherited tasks could start.

Change: `inherited-leases` (former owner, basis, lapse_in_ms) when the pool is loaded and whenever the bound becomes tighter; `takeover-complete` (after_ms). One or two lines for each takeover.

--- a/libs/jobserver/src/inherited_leases.cc
+++ b/libs/jobserver/src/inherited_leases.cc
@@ -23,15 +23,18 @@
 
 void InheritedLeases::SetPrevious(const RosterRecord& previous,
                                   const std::optional<PoolOwnership>& former) {
+  if (previous.owner) previous_entry_ = previous.owner->entry.value();
   if (former && previous.owner == former->owner &&
       previous.owner_count == former->owner_count) {
     // The process is the previous owner and sends no orders as such any more.
+    basis_ = "own";
     extended_until_ = std::min(extended_until_,
                                std::max(timers_.Now(), former->extended_until));
     return;
   }
   if (!previous.are_earlier_owners_gone) return;
   if (previous.is_released) {
+    basis_ = "released";
     extended_until_ = std::min(extended_until_, timers_.Now());
   } else {
     awaited_ = previous.owner;
@@ -44,10 +47,17 @@
   if (!awaited_ || now >= extended_until_ || !has_stopped_(*awaited_))
     return false;
   awaited_.reset();
+  basis_ = "stopped";
   extended_until_ = now;
   return true;
 }
 
+std::vector<EventField> InheritedLeases::Fields() const {
+  return {{"former", previous_entry_},
+          {"basis", basis_},
+          {"lapse_in_ms", std::to_string(ToMillis(Remaining()))}};
+}
+
 Duration InheritedLeases::Remaining() const {
   return extended_until_ + longest_task_lease_ - timers_.Now();
 }
--- a/libs/jobserver/src/inherited_leases.h
+++ b/libs/jobserver/src/inherited_leases.h
@@ -2,7 +2,10 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <vector>
 
+#include "pomelomill/base/event_log.h"
 #include "pomelomill/base/timer_service.h"
 #include "pomelomill/config/job_service_settings.h"
 #include "store_records.h"
@@ -41,6 +44,11 @@
   /// Asks has_stopped() again. Returns whether the bound has become tighter.
   bool Update();
 
+  /// For the log: the previous owner, what the bound follows from, and
+  /// Remaining(). The bound follows from the acquisition of the pool
+  /// ("acquired"), from a former ownership of this process ("own"), or from the
+  /// previous owner, which has released the pool ("released") or "stopped".
+  std::vector<EventField> Fields() const;
   /// No earlier owner extends a lease after this time.
   Instant extended_until() const { return extended_until_; }
   /// Time until all leases that earlier owners gave have certainly lapsed;
@@ -55,6 +63,9 @@
   const Duration longest_task_lease_;
   const std::function<bool(const OwnerRecord&)> has_stopped_;
   Instant extended_until_;
+  /// Entry of the previous owner; empty if unknown.
+  std::string previous_entry_;
+  const char* basis_ = "acquired";
   /// The previous owner, while it may extend leases and no other does.
   std::optional<OwnerRecord> awaited_;
 };
--- a/libs/jobserver/src/pool_owner.cc
+++ b/libs/jobserver/src/pool_owner.cc
@@ -14,6 +14,7 @@
 #include "pomelomill/store/prefix_follower.h"
 #include "pool_roster.h"
 #include "pool_workers.h"
+#include "progress_reader.h"
 #include "progress_writer.h"
 #include "share_writer.h"
 #include "store_keys.h"
@@ -21,7 +22,6 @@
 namespace pomelomill {
 namespace {
 
-constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 /// Least time between two writes of progress: tasks that end close together
 /// share a write. Short compared to the run times of tasks, a second or more.
 constexpr Duration kMinStoreInterval = std::chrono::milliseconds(40);
@@ -55,6 +55,7 @@
                  MakeWorkersHooks()),
         orders_(platform_.workers, timers_, MakeOrderHooks()),
         self_{settings.entry, hooks_.incarnation},
+        began_at_(timers_.Now()),
         newest_token_(token),
         leases_(settings, timers, hooks_.has_stopped),
         plans_(timers_, kMinPlanInterval, [this] {
@@ -112,7 +113,8 @@
     roster_.reset();
     evacuations_.reset();
     backlog_publisher_.reset();
-    for (const TimerId it : {retry_timer_, cleanup_timer_}) timers_.Cancel(it);
+    progress_reader_.reset();
+    timers_.Cancel(cleanup_timer_);
   }
 
   void OnConfig(const FleetConfig& config) {
@@ -127,6 +129,7 @@
 
   void OnClusterChange() {
     if (!leases_.Update()) return;
+    Event("inherited-leases", leases_.Fields());
     workers_.LimitInheritedLeases(leases_.Remaining());
     roster_->StoreEarlierOwnersGone();
   }
@@ -187,34 +190,20 @@
     };
   }
 
-  void RetryLater(void (Impl::*step)()) {
-    retry_timer_ = timers_.ScheduleAfter(kRetryDelay, Guarded(step));
-  }
-
   void LoadProgress() {
-    platform_.store.read_prefix(
-        ProgressPrefix(pool_), kStoreTimeout,
-        [weak = weak_from_this()](const Result<PrefixRead>& result) {
-          const auto self = weak.lock();
-          if (self == nullptr || self->is_halted_) return;
-          if (!result) return self->RetryLater(&Impl::LoadProgress);
-          self->OnProgressRead(*result);
-        });
-  }
-
-  void OnProgressRead(const PrefixRead& read) {
-    const std::size_t prefix = ProgressPrefix(pool_).size();
-    for (const StoredKey& it : read.items) {
-      const JobId job(it.key.substr(prefix));
-      writer_->SetStoredVersion(job, it.version);
-      const auto progress = DecodeJobProgress(it.value);
-      if (progress) {
-        loaded_progress_[job] = *progress;
-      } else {
-        ReportBadRecord(it.key);
-      }
-    }
-    FollowJobs();
+    progress_reader_.emplace(
+        platform_.store, timers_, pool_,
+        ProgressReaderHooks{
+            .on_record =
+                [this](StoredProgress it) {
+                  writer_->SetStoredVersion(it.job, it.version);
+                  if (it.progress)
+                    loaded_progress_[it.job] = *std::move(it.progress);
+                },
+            .on_bad_record =
+                [this](const std::string& it) { ReportBadRecord(it); },
+            .on_loaded = [this] { FollowJobs(); }});
+    progress_reader_->Start();
   }
 
   void FollowJobs() {
@@ -249,6 +238,7 @@
           {{"jobs", std::to_string(dispatcher_->active_jobs())},
            {"workers", std::to_string(roster_->previous().workers.size())},
            {"owners", std::to_string(roster_->current().owner_count)}});
+    Event("inherited-leases", leases_.Fields());
     for (const auto& [id, address] : roster_->current().workers)
       workers_.EnsureLink({id, address}, leases_.Remaining());
     ApplyList();
@@ -256,6 +246,12 @@
     if (hooks_.publishes_backlog) PublishBacklogs();
   }
 
+  void ReportTakeover() {
+    if (std::exchange(is_takeover_reported_, true)) return;
+    Event("takeover-complete",
+          {{"after_ms", std::to_string(ToMillis(timers_.Now() - began_at_))}});
+  }
+
   void PublishBacklogs() {
     backlog_publisher_.emplace(
         platform_.store, timers_, pool_, token_, hooks_.lease,
@@ -299,13 +295,8 @@
     const JobId id(change.key.substr(jobs.size()));
     auto job = DecodeStoredJob(change.value);
     if (!job) return ReportBadRecord(change.key);
-    AddedJob added{
-        .id = id,
-        .queue = job->queue,
-        .spec = std::make_shared<const JobSpec>(std::move(job->spec)),
-        .workspace = job->workspace,
-        .terms = job->terms,
-        .is_inherited = change.created.value() < token_.value()};
+    AddedJob added = ToAddedJob(id, *std::move(job));
+    added.is_inherited = change.created.value() < token_.value();
     if (const auto it = loaded_progress_.find(id); it != loaded_progress_.end())
       added.progress = std::move(it->second);
     dispatcher_->AddJob(added, timers_.Now());
@@ -346,9 +337,7 @@
             },
         .on_lost = [this] { ReportLost("the owner key has changed"); },
         .on_bad_record =
-            [this](const std::string& key) {
-              Event("bad-record", {{"key", key}});
-            }};
+            [this](const std::string& it) { ReportBadRecord(it); }};
   }
 
   void ApplyList() {
@@ -465,7 +454,10 @@
         for (const StartOrder& it : plan.starts) orders_.Send(it);
         if (plan.next_plan_at)
           plans_.ScheduleAt(std::max(*plan.next_plan_at, timers_.Now()));
-        if (dispatcher_->is_takeover_complete()) shares_->SetTakeoverComplete();
+        if (dispatcher_->is_takeover_complete()) {
+          shares_->SetTakeoverComplete();
+          ReportTakeover();
+        }
         shares_->Update();
       } else {
         plans_.ScheduleAt(timers_.Now() + kRetryDelay);
@@ -538,6 +530,8 @@
   PoolWorkers workers_;
   OrderSender orders_;
   const OwnerRecord self_;
+  /// When the pool was acquired.
+  const Instant began_at_;
   /// The store's version of the latest write that this owner made on condition
   /// that it owns the pool: higher than its own token, lower than that of any
   /// later owner.
@@ -545,6 +539,7 @@
   InheritedLeases leases_;
   PlanScheduler plans_;
   FleetConfig config_;
+  std::optional<ProgressReader> progress_reader_;
   std::optional<ProgressWriter> writer_;
   std::optional<ShareWriter> shares_;
   std::optional<Dispatcher> dispatcher_;
@@ -557,12 +552,12 @@
   std::optional<EvacuationTracker> evacuations_;
   std::optional<BacklogPublisher> backlog_publisher_;
   std::function<void()> on_released_;
-  TimerId retry_timer_ = 0;
   TimerId cleanup_timer_ = 0;
   /// Earliest time of the next write of progress.
   Instant store_at_{};
   bool is_store_scheduled_ = false;
   bool is_loaded_ = false;
+  bool is_takeover_reported_ = false;
   bool is_releasing_ = false;
   bool is_owner_key_removal_sent_ = false;
   bool is_halted_ = false;
--- a/libs/jobserver/src/store_records.cc
+++ b/libs/jobserver/src/store_records.cc
@@ -130,6 +130,14 @@
   return job;
 }
 
+AddedJob ToAddedJob(const JobId& id, StoredJob job) {
+  return {.id = id,
+          .queue = std::move(job.queue),
+          .spec = std::make_shared<const JobSpec>(std::move(job.spec)),
+          .workspace = std::move(job.workspace),
+          .terms = std::move(job.terms)};
+}
+
 std::string EncodeMember(const MemberRecord& member) {
   return Dump({{"peer", member.peer_address},
                {"zone", member.zone.value()},
--- a/libs/jobserver/src/store_records.h
+++ b/libs/jobserver/src/store_records.h
@@ -46,6 +46,8 @@
 
 std::string EncodeStoredJob(const StoredJob& job);
 Result<StoredJob> DecodeStoredJob(const std::string& text);
+/// Returns the job as a dispatcher takes it, without progress.
+AddedJob ToAddedJob(const JobId& id, StoredJob job);
 
 /// Registration of an entry.
 struct MemberRecord {
