End the lease timer of a worker that responds

Cause: the timer that notices the lapse of a silent worker's lease ran on after a response, and its function asked whether the worker was silent. A trial without that question passed all tests, so nothing showed that it was needed.

Change: a response cancels the timer, so that the function needs no question. Also a move of a trivially copyable value that the linter rejects.

Result: worker_link_test and inherited_lease_test pass as before.

--- a/libs/jobserver/src/store_records.cc
+++ b/libs/jobserver/src/store_records.cc
@@ -135,7 +135,7 @@
           .queue = std::move(job.queue),
           .spec = std::make_shared<const JobSpec>(std::move(job.spec)),
           .workspace = std::move(job.workspace),
-          .terms = std::move(job.terms)};
+          .terms = job.terms};
 }
 
 std::string EncodeMember(const MemberRecord& member) {
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -273,6 +273,7 @@
     if (is_stale && !is_outcome_stale_ && timers_.Now() > lease_expires_at_)
       return OnFailure(WorkerError::kNoResponse);
     refusals_ = 0;
+    timers_.Cancel(expiry_timer_);
     const bool is_new_incarnation =
         !clock_ms_ || incarnation_start_ms_ != result->started_ms;
     ReportSilenceEnd(*result);
@@ -406,9 +407,7 @@
   }
 
   void OnLeaseTimer() {
-    const bool has_expired =
-        is_unresponsive_ && !is_lost_ && timers_.Now() > lease_expires_at_;
-    if (!has_expired) return;
+    if (is_lost_ || timers_.Now() <= lease_expires_at_) return;
     timers_.Cancel(timer_);
     MarkLost(WorkerLoss::kLeaseExpired);
   }
