Pass a lost worker with an open start on to the next owner of its pool

What callers saw: a start had no answer, its worker crashed and its owner was killed. The worker started again, and the start reached its new process while the pool had no owner.

Cause, two mistakes behind one another. A lost worker leaves the roster, which names the workers that the next owner waits for, also while a start to it may still be carried out; the hold on its task is in the memory of its owner alone. And a listed run that the stored progress counts as lost in a crash was taken for a stray: it was stopped, and its task started elsewhere at the same moment.

Change: a lost worker stays in the roster until the last start to it has expired (13 s). A run that counts as lost with its worker is kept when a worker lists it.

One write of the roster comes later, none is added.

--- a/libs/dispatch/src/dispatcher_reports.cc
+++ b/libs/dispatch/src/dispatcher_reports.cc
@@ -241,10 +241,14 @@
     if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
     return;
   }
-  const bool is_newer = running.run > task->run ||
-                        (running.run == task->run && task->held_for == id);
+  // A start that was taken for lost with its worker may be carried out by the
+  // next incarnation, also under the next owner.
+  const bool was_taken_for_lost =
+      task->held_for == id || task->crashed_runs.contains(running.run);
+  const bool is_latest = running.run > task->run ||
+                         (running.run == task->run && was_taken_for_lost);
   const bool may_adopt =
-      task->phase == RunPhase::kWaiting && is_newer && !job->is_final();
+      task->phase == RunPhase::kWaiting && is_latest && !job->is_final();
   if (may_adopt) {
     RecordEvent("task-adopted", running.key, running.run, id);
     Place(*job, running.key, *task, worker, running.run, RunPhase::kRunning);
--- a/libs/jobserver/include/pomelomill/jobserver/worker_link.h
+++ b/libs/jobserver/include/pomelomill/jobserver/worker_link.h
@@ -152,6 +152,8 @@
   /// Whether a start, of this owner or an earlier one, may still be carried
   /// out.
   bool has_open_orders() const;
+  /// As has_open_orders(), for starts of this link alone.
+  bool has_open_starts() const;
   /// Lease deadline to send with a start order, in milliseconds of the worker's
   /// clock; empty while that clock is unknown.
   std::optional<std::int64_t> order_deadline_ms() const;
--- a/libs/jobserver/src/pool_workers.cc
+++ b/libs/jobserver/src/pool_workers.cc
@@ -19,6 +19,15 @@
   hooks_ = {};
 }
 
+bool PoolWorkers::TakeRosterChange() {
+  const auto expired =
+      std::erase_if(lost_with_open_starts_, [&](const WorkerId& id) {
+        const WorkerLink* const link = FindLink(id);
+        return link == nullptr || !link->has_open_starts();
+      });
+  return std::exchange(is_roster_outdated_, false) || expired != 0;
+}
+
 std::map<WorkerId, std::string> PoolWorkers::WantedRoster(
     std::map<WorkerId, std::string> roster) const {
   for (const ListedWorker& it : listed_) roster[it.spec.id] = it.address;
@@ -27,6 +36,7 @@
     const bool is_called =
         link != nullptr && link->address().address == it.second;
     return lost_workers_.contains(it.first) &&
+           !(is_called && link->has_open_starts()) &&
            (is_called || !IsListed(it.first));
   });
   return roster;
@@ -127,6 +137,7 @@
 
 void PoolWorkers::OnReport(const WorkerId& id, const WorkerReport& report) {
   is_roster_outdated_ |= lost_workers_.erase(id) != 0;
+  lost_with_open_starts_.erase(id);
   const std::size_t ends = report.ended.size();
   if (backlogs_.Begins(id, ends)) {
     hooks_.event("worker-backlog",
@@ -143,6 +154,7 @@
                                {"reason", ToText(loss)},
                                {"listed", YesOrNo(IsListed(id))}});
   lost_workers_.insert(id);
+  if (links_.at(id)->has_open_starts()) lost_with_open_starts_.insert(id);
   is_roster_outdated_ = true;
   hooks_.dispatcher().OnWorkerGone(id, loss, timers_.Now(), hooks_.wall_ms());
   hooks_.on_change();
--- a/libs/jobserver/src/pool_workers.h
+++ b/libs/jobserver/src/pool_workers.h
@@ -50,12 +50,13 @@
     listed_ = workers;
   }
   const std::vector<ListedWorker>& listed() const { return listed_; }
-  /// Whether a worker has reported again or was lost since the last call, so
-  /// that the roster may differ.
-  bool TakeRosterChange() { return std::exchange(is_roster_outdated_, false); }
+  /// Whether a worker has reported again or was lost since the last call, or
+  /// its last open start has expired, so that the roster may differ.
+  bool TakeRosterChange();
   /// Returns the workers that the roster must have, with their addresses:
   /// those of `roster` and those listed, without those on which nothing runs
-  /// any more.
+  /// any more. A lost worker whose next incarnation may carry out a start
+  /// stays: the next owner must call it before it starts the task elsewhere.
   std::map<WorkerId, std::string> WantedRoster(
       std::map<WorkerId, std::string> roster) const;
 
@@ -93,6 +94,8 @@
   std::vector<ListedWorker> listed_;
   /// Workers on which nothing runs any more, see WorkerLinkHooks::on_lost.
   std::set<WorkerId> lost_workers_;
+  /// Those of them that had an open start when they were lost.
+  std::set<WorkerId> lost_with_open_starts_;
   WorkerBacklogs backlogs_;
   bool is_roster_outdated_ = false;
 };
--- a/libs/jobserver/src/worker_link.cc
+++ b/libs/jobserver/src/worker_link.cc
@@ -72,6 +72,9 @@
   FencingToken token() const { return token_; }
   bool needs_token() const { return needs_token_; }
   bool has_open_orders() const { return !HasNoOrderInFlight(); }
+  bool has_open_starts() const {
+    return pending_starts_ != 0 || timers_.Now() < unanswered_starts_until_;
+  }
 
   std::optional<std::int64_t> order_deadline_ms() const {
     if (!clock_ms_) return std::nullopt;
@@ -552,6 +555,7 @@
 }
 FencingToken WorkerLink::token() const { return impl_->token(); }
 bool WorkerLink::has_open_orders() const { return impl_->has_open_orders(); }
+bool WorkerLink::has_open_starts() const { return impl_->has_open_starts(); }
 bool WorkerLink::needs_token() const { return impl_->needs_token(); }
 bool WorkerLink::may_start() const { return impl_->may_start(); }
 bool WorkerLink::may_repeat_start(FencingToken token) const {
--- a/libs/jobserver/test/late_order_test.cc
+++ b/libs/jobserver/test/late_order_test.cc
@@ -97,8 +97,80 @@
   CHECK(world.Violations().empty());
 }
 
+/// Returns the worker to which the latest start was sent.
+WorkerId WorkerOfLatestStart(const JobWorld& world) {
+  const std::string field = " worker=";
+  for (auto it = world.events().rbegin(); it != world.events().rend(); ++it) {
+    if (it->find(" task-start ") == std::string::npos) continue;
+    const std::size_t begin = it->find(field) + field.size();
+    return WorkerId(it->substr(begin, it->find(' ', begin) - begin));
+  }
+  return {};
+}
+
+/// A start gets no answer and its worker crashes; then the owner is killed, the
+/// worker starts again, and the start reaches it while the pool has no owner.
+void RunLateStartWithoutOwner(Duration run_time, Duration late) {
+  CAPTURE(ToMillis(run_time));
+  CAPTURE(ToMillis(late));
+  JobWorld world({.run_time = run_time});
+  world.Advance(seconds(2));
+  const auto owner = static_cast<std::size_t>(world.Owner(0));
+  world.worker_faults(owner) = {.late_share = 1, .late = late};
+  world.Submit((owner + 1) % 3, "job", 0, ChainJob(1, 1));
+  world.Advance(milliseconds(60));
+  const WorkerId worker = WorkerOfLatestStart(world);
+  REQUIRE_FALSE(worker.empty());
+  world.workers().Crash(worker);
+  world.worker_faults(owner) = {};
+  world.Advance(milliseconds(1'440));
+  world.KillEntry(owner);
+  world.Advance(seconds(1));
+  world.workers().Restart(worker);
+  world.Advance(seconds(20));
+  INFO(world.History());
+  CHECK(world.workers().late_orders_in_next_life() == 1);
+  CHECK(world.workers().runs().size() == 1);
+  CHECK(world.Phase("job", 0) == "complete");
+  CHECK(world.Violations().empty());
+}
+
 }  // namespace
 
+// Guards against TWICE: the next owner was not told of a lost worker to which a
+// start was open, and started the task elsewhere.
+TEST_CASE("a late start is found by the next owner of its pool") {
+  for (const int run_ms : {300, 1'000, 6'000}) {
+    for (const int late_ms : {2'700, 3'000, 3'400})
+      RunLateStartWithoutOwner(milliseconds(run_ms), milliseconds(late_ms));
+  }
+}
+
+// Guards against LOST: a lost worker was kept in the roster for good once a
+// start to it had had no answer.
+TEST_CASE("a lost worker leaves the roster when its open start has expired") {
+  JobWorld world({});
+  world.Advance(seconds(2));
+  const auto owner = static_cast<std::size_t>(world.Owner(0));
+  world.worker_faults(owner) = {.late_share = 1, .late = seconds(3)};
+  world.Submit(owner, "job", 0, ChainJob(1, 1));
+  world.Advance(milliseconds(60));
+  const WorkerId worker = WorkerOfLatestStart(world);
+  world.workers().Crash(worker);
+  world.worker_faults(owner) = {};
+  const auto is_in_roster = [&] {
+    return world.store().Value("rosters/p0").find(worker.value()) !=
+           std::string::npos;
+  };
+  world.Advance(seconds(2));
+  CHECK(is_in_roster());
+  world.Advance(seconds(13));
+  world.Submit(owner, "next", 0, ChainJob(1, 1));
+  world.Advance(seconds(1));
+  CHECK_FALSE(is_in_roster());
+  CHECK(world.Violations().empty());
+}
+
 // Guards against TWICE: the owner of a worker whose connections had gone silent
 // called its next incarnation only after its renewal had timed out, seconds
 // after the store listed that incarnation.
